--- a/apps/tiller/command.hpp
+++ b/apps/tiller/command.hpp
@@ -19,11 +19,11 @@
 enum exit_code : int
 {
     exit_ok = 0,
-    exit_refused = 1,      ///< the mesh or the checks refused
-    exit_usage = 2,        ///< the command line or a file is wrong
-    exit_unreachable = 3,  ///< no node answered
-    exit_unknown = 4,      ///< the outcome of a change is not known
-    exit_not_in_force = 5  ///< a watch ended before the version was in force
+    exit_refused = 1,     ///< the mesh or the checks refused
+    exit_usage = 2,       ///< the command line or a file is wrong
+    exit_unreachable = 3, ///< no node answered
+    exit_unknown = 4,     ///< the outcome of a change is not known
+    exit_not_in_force = 5 ///< a watch ended before the version was in force
 };
 
 /** What a subcommand is given. */
--- a/apps/tiller/drafts.cpp
+++ b/apps/tiller/drafts.cpp
@@ -74,8 +74,8 @@
     {
         if (table.remove(key))
             return {};
-        return error(error_code::not_found, "no row " + key.service + " at " +
-                                                key.place);
+        return error(error_code::not_found,
+                     "no row " + key.service + " at " + key.place);
     }
     row edited;
     edited.key = key;
@@ -122,8 +122,7 @@
     {
         if (!is_version(given.arguments[0]))
             return fail(error(error_code::bad_syntax,
-                              "\"" + given.arguments[0] +
-                                  "\" is not a version",
+                              "\"" + given.arguments[0] + "\" is not a version",
                               "give a number from `tiller history`"));
         version = std::stoull(given.arguments[0]);
     }
--- a/apps/tiller/fleet.cpp
+++ b/apps/tiller/fleet.cpp
@@ -74,8 +74,8 @@
         const auto in = each.value().at("in").to_number<std::uint64_t>();
         const auto out = each.value().at("out").to_number<std::uint64_t>();
         if (in + out != 0)
-            std::cout << " " << std::string_view(each.key()) << " " << in
-                      << "/" << out;
+            std::cout << " " << std::string_view(each.key()) << " " << in << "/"
+                      << out;
     }
     std::cout << "\n";
 }
@@ -127,8 +127,8 @@
 int run_why(invocation& given)
 {
     const auto subject = given.arguments.empty() ? "" : given.arguments[0];
-    const auto answer = given.mesh.ask(
-        "GET", "/v1/journal?subject=" + percent_encode(subject));
+    const auto answer =
+        given.mesh.ask("GET", "/v1/journal?subject=" + percent_encode(subject));
     if (!answer)
         return fail(answer.reason());
     if (answer->status != 200)
--- a/apps/tiller/main.cpp
+++ b/apps/tiller/main.cpp
@@ -54,9 +54,9 @@
         "token-file", "file with the operator token (or TILLER_TOKEN)",
         cxxopts::value<std::string>())("json", "print JSON")(
         "accept-id", "name of this accept, to repeat it safely",
-        cxxopts::value<std::string>())(
-        "base", "version the draft was taken from",
-        cxxopts::value<std::uint64_t>())(
+        cxxopts::value<std::string>())("base",
+                                       "version the draft was taken from",
+                                       cxxopts::value<std::uint64_t>())(
         "rebase", "keep newer versions' edits of other cells")(
         "watch", "follow the version until it is in force")(
         "timeout", "seconds to watch",
@@ -157,8 +157,7 @@
         print_overview();
         return argc > 1 ? exit_ok : exit_usage;
     }
-    const auto chosen =
-        std::ranges::find(command_table, name, &command::name);
+    const auto chosen = std::ranges::find(command_table, name, &command::name);
     if (chosen == command_table.end())
     {
         std::cerr << "unknown command \"" << name
@@ -173,8 +172,8 @@
         if (given.count("help") != 0)
         {
             std::cout << chosen->summary << "\n\n"
-                      << options.help()
-                      << "\nExample: " << chosen->example << "\n";
+                      << options.help() << "\nExample: " << chosen->example
+                      << "\n";
             return exit_ok;
         }
         return run_command(*chosen, given);
--- a/apps/tiller/mesh_client.cpp
+++ b/apps/tiller/mesh_client.cpp
@@ -13,7 +13,8 @@
 mesh_client::mesh_client(boost::asio::io_context& io,
                          const std::vector<address>& nodes,
                          std::string token)
-    : m_io(io), m_token(std::move(token))
+    : m_io(io)
+    , m_token(std::move(token))
 {
     for (const auto& each : nodes)
         m_nodes.push_back(std::make_unique<api_client>(io, each));
@@ -51,9 +52,9 @@
     boost::system::error_code failed;
     const auto body = boost::json::parse(answer->body, failed);
     if (failed || answer->status != 200)
-        return error(error_code::not_found,
-                     "version " + std::to_string(version) + ": " +
-                         answer->body);
+        return error(error_code::not_found, "version " +
+                                                std::to_string(version) + ": " +
+                                                answer->body);
     read = boost::json::value_to<std::uint64_t>(body.at("version"));
     return boost::json::value_to<std::string>(body.at("csv"));
 }
--- a/apps/tiller/versions.cpp
+++ b/apps/tiller/versions.cpp
@@ -87,9 +87,10 @@
     {
         for (const auto& line : body.at("changes").as_array())
             std::cout << line.as_string().c_str() << "\n";
-        const char* how = body.at("unchanged").as_bool()  ? "unchanged, still"
-                          : body.at("repeated").as_bool() ? "already accepted as"
-                                                          : "accepted as";
+        const char* how = body.at("unchanged").as_bool() ? "unchanged, still"
+                          : body.at("repeated").as_bool()
+                              ? "already accepted as"
+                              : "accepted as";
         std::cout << how << " version " << version << "\n";
     }
     if (given.options.count("watch") != 0)
@@ -196,8 +197,8 @@
     progress_printer progress;
     while (true)
     {
-        const auto answer = given.mesh.ask(
-            "GET", "/v1/watch?version=" + std::to_string(version));
+        const auto answer = given.mesh.ask("GET", "/v1/watch?version=" +
+                                                      std::to_string(version));
         if (!answer)
             return fail(answer.reason());
         if (answer->status != 200)
@@ -245,8 +246,8 @@
 int run_history(invocation& given)
 {
     const auto limit = given.options["limit"].as<unsigned>();
-    const auto answer = given.mesh.ask(
-        "GET", "/v1/history?limit=" + std::to_string(limit));
+    const auto answer =
+        given.mesh.ask("GET", "/v1/history?limit=" + std::to_string(limit));
     if (!answer)
         return fail(answer.reason());
     if (answer->status != 200)
@@ -259,9 +260,8 @@
     const auto body = json::parse(answer->body);
     for (const auto& each : body.at("versions").as_array())
     {
-        std::cout << "version "
-                  << each.at("version").to_number<std::uint64_t>() << " by "
-                  << each.at("author").as_string().c_str() << " ("
+        std::cout << "version " << each.at("version").to_number<std::uint64_t>()
+                  << " by " << each.at("author").as_string().c_str() << " ("
                   << each.at("accept_id").as_string().c_str() << ")\n";
         for (const auto& line : each.at("changes").as_array())
             std::cout << "    " << line.as_string().c_str() << "\n";
--- a/apps/tillerd.cpp
+++ b/apps/tillerd.cpp
@@ -83,8 +83,8 @@
     cxxopts::Options options("tillerd", "A tillerhall node.");
     options.add_options()("c,config", "settings file (YAML)",
                           cxxopts::value<std::string>())(
-        "check-config", "check the settings and exit: 0 good, 2 bad")(
-        "h,help", "show this");
+        "check-config",
+        "check the settings and exit: 0 good, 2 bad")("h,help", "show this");
     try
     {
         const auto given = options.parse(argc, argv);
--- a/benchmark/convergence.cpp
+++ b/benchmark/convergence.cpp
@@ -51,8 +51,9 @@
         m_table = m_system.default_table();
         const auto first = m_system.accept(0, m_table, 0, "first");
         if (!first || !m_system.wait_for_version(1))
-            return error(error_code::timed_out, "the first table did not settle");
-        sleep_for(m_worker.io(), std::chrono::seconds(3)); // joins die down
+            return error(error_code::timed_out,
+                         "the first table did not settle");
+        settle();
         const auto idle_begin = sample_fleet(m_system);
         sleep_for(m_worker.io(),
                   milliseconds(static_cast<std::int64_t>(m_idle_s * 1000)));
@@ -83,9 +84,8 @@
             {"total_bytes_per_node_s",
              std::round((end.control_bytes - idle_begin.control_bytes) /
                         seconds(end.at - idle_begin.at))},
-            {"source_reads_s",
-             (end.source_reads - idle_begin.source_reads) /
-                 seconds(end.at - idle_begin.at)},
+            {"source_reads_s", (end.source_reads - idle_begin.source_reads) /
+                                   seconds(end.at - idle_begin.at)},
             {"source_bytes_s",
              std::round((end.source_bytes - idle_begin.source_bytes) /
                         seconds(end.at - idle_begin.at))},
@@ -98,9 +98,8 @@
     static harness::cluster_options
     cluster_for(const cxxopts::ParseResult& options, const variant& measured)
     {
-        auto built =
-            harness::profile(options["profile"].as<std::string>(),
-                             options["nodes"].as<std::size_t>());
+        auto built = harness::profile(options["profile"].as<std::string>(),
+                                      options["nodes"].as<std::size_t>());
         built.share_targets = true;
         built.settings["distribution.strategy"] = measured.strategy;
         built.settings["distribution.poll_ms"] = measured.poll;
@@ -115,6 +114,22 @@
         return built;
     }
 
+    /** Waits until all lists of members agree and the news of joins is old. */
+    void settle()
+    {
+        m_system.wait_until(
+            [this]
+            {
+                const auto first = m_system.status(0);
+                for (std::size_t i = 1; i < m_system.nodes().size(); ++i)
+                    if (m_system.status(i).at("members_digest") !=
+                        first.at("members_digest"))
+                        return false;
+                return true;
+            });
+        sleep_for(m_worker.io(), std::chrono::seconds(8));
+    }
+
     static double seconds(duration span)
     {
         return std::chrono::duration<double>(span).count();
@@ -175,8 +190,8 @@
         const std::string name(each->name());
         if (wanted != "all" && wanted != name)
             continue;
-        chosen.push_back({name, name, poll_ms,
-                          each == strategies().front(), name == "poll"});
+        chosen.push_back({name, name, poll_ms, each == strategies().front(),
+                          name == "poll"});
     }
     return chosen;
 }
@@ -186,8 +201,7 @@
 std::string matching_poll(double convergence_ms)
 {
     constexpr double least_ms = 20;
-    return std::to_string(
-        static_cast<int>(std::max(least_ms, convergence_ms)));
+    return std::to_string(static_cast<int>(std::max(least_ms, convergence_ms)));
 }
 
 } // namespace
@@ -219,10 +233,9 @@
                  false, false});
         measured.push_back(std::move(*outcome));
     }
-    report("convergence",
-           {{"profile", options["profile"].as<std::string>()},
-            {"changes", options["changes"].as<std::size_t>()},
-            {"strategies", std::move(measured)}});
+    report("convergence", {{"profile", options["profile"].as<std::string>()},
+                           {"changes", options["changes"].as<std::size_t>()},
+                           {"strategies", std::move(measured)}});
     return 0;
 }
 
--- a/benchmark/demo.cpp
+++ b/benchmark/demo.cpp
@@ -55,14 +55,12 @@
         std::vector<std::string> argv{harness::program_folder() + "/tiller"};
         argv.insert(argv.end(), arguments.begin(), arguments.end());
         std::string nodes;
-        for (std::size_t i = 0; i < std::min<std::size_t>(
-                                        3, m_system.nodes().size());
-             ++i)
-            nodes += (i == 0 ? "" : ",") +
-                     m_system.nodes()[i].operators.text();
-        const auto output = harness::run(
-            argv,
-            {{"TILLER_NODES", nodes}, {"TILLER_TOKEN", m_system.token()}});
+        for (std::size_t i = 0;
+             i < std::min<std::size_t>(3, m_system.nodes().size()); ++i)
+            nodes += (i == 0 ? "" : ",") + m_system.nodes()[i].operators.text();
+        const auto output =
+            harness::run(argv, {{"TILLER_NODES", nodes},
+                                {"TILLER_TOKEN", m_system.token()}});
         std::string shown = "$ tiller";
         for (const auto& each : arguments)
             shown += " " + (each.starts_with(m_system.folder())
@@ -141,8 +139,8 @@
             const auto took_us =
                 status.at("applied_us").to_number<std::int64_t>() -
                 status.at("accepted_us").to_number<std::int64_t>();
-            m_convergence_ms = std::max(m_convergence_ms,
-                                        static_cast<double>(took_us) / 1000);
+            m_convergence_ms =
+                std::max(m_convergence_ms, static_cast<double>(took_us) / 1000);
         }
     }
 
@@ -151,8 +149,7 @@
     {
         std::set<std::string> closed;
         for (const auto& each : m_system.nodes())
-            if (each.place.service == m_service &&
-                each.place.domain == m_place)
+            if (each.place.service == m_service && each.place.domain == m_place)
                 closed.insert(each.target.text());
         int served_there = 0;
         caller from(m_worker.io(), m_system.nodes().front().caller);
@@ -189,8 +186,7 @@
         say("node " + victim.rpc.text() + " is back at version " +
             std::to_string(m_system.version(index)));
         expect(m_system.wait_until(
-                   [&]
-                   {
+                   [&] {
                        return m_system.knows_all(0) &&
                               m_system.knows_all(index);
                    }),
@@ -203,14 +199,13 @@
     {
         expect(m_wrong == 0, "no call got another call's answer");
         expect(m_ok == m_calls, "every call was answered");
-        report("demo",
-               {{"nodes", m_system.nodes().size()},
-                {"convergence_ms", m_convergence_ms},
-                {"control_bytes_per_node",
-                 static_cast<std::int64_t>(end.control_bytes -
-                                           begin.control_bytes)},
-                {"calls_ok", m_ok},
-                {"calls_wrong", m_wrong}});
+        report("demo", {{"nodes", m_system.nodes().size()},
+                        {"convergence_ms", m_convergence_ms},
+                        {"control_bytes_per_node",
+                         static_cast<std::int64_t>(end.control_bytes -
+                                                   begin.control_bytes)},
+                        {"calls_ok", m_ok},
+                        {"calls_wrong", m_wrong}});
         return m_held ? 0 : 1;
     }
 
--- a/benchmark/harness/cluster.cpp
+++ b/benchmark/harness/cluster.cpp
@@ -37,9 +37,12 @@
 {
     const std::vector<std::size_t> counts{6, 4, 3};
     std::vector<placement> placed;
-    for (std::size_t service = 0; service < services.size(); ++service)
-        for (std::size_t i = 0; i < counts[service]; ++i)
-            placed.push_back({services[service], domains[i % domains.size()]});
+    // Services in turn, so that a cut pattern still has all of them.
+    for (std::size_t i = 0; i < counts.front(); ++i)
+        for (std::size_t service = 0; service < services.size(); ++service)
+            if (i < counts[service])
+                placed.push_back(
+                    {services[service], domains[i % domains.size()]});
     return placed;
 }
 
@@ -60,10 +63,9 @@
 cluster_options akkerbond(std::size_t nodes)
 {
     cluster_options options;
-    options.placements =
-        repeat(thirteen({"perceel", "oogstbeurs", "schuur"},
-                        {"polder-a", "polder-b", "polder-c"}),
-               nodes);
+    options.placements = repeat(thirteen({"perceel", "oogstbeurs", "schuur"},
+                                         {"polder-a", "polder-b", "polder-c"}),
+                                nodes);
     options.region = "nl-west";
     options.settings = {{"mesh.heartbeat_ms", "500"},
                         {"distribution.poll_ms", "1000"},
@@ -93,7 +95,9 @@
 }
 
 cluster::cluster(worker& on, cluster_options options)
-    : m_worker(on), m_options(std::move(options)), m_folder(make_folder())
+    : m_worker(on)
+    , m_options(std::move(options))
+    , m_folder(make_folder())
 {
 }
 
@@ -184,12 +188,11 @@
         }
         shared[node.place.service] = m_targets.size();
         process target;
-        const auto log = m_folder + "/target-" +
-                         std::to_string(m_targets.size()) + ".log";
-        if (auto started =
-                target.start({program_folder() + "/standin-target", "--behave",
-                              m_options.behaviour},
-                             log);
+        const auto log =
+            m_folder + "/target-" + std::to_string(m_targets.size()) + ".log";
+        if (auto started = target.start({program_folder() + "/standin-target",
+                                         "--behave", m_options.behaviour},
+                                        log);
             !started)
             return started;
         const auto line = target.read_listening();
@@ -206,11 +209,10 @@
 {
     auto& target = m_targets[index];
     target.kill();
-    if (auto started =
-            target.start({program_folder() + "/standin-target", "--listen",
-                          m_target_addresses[index].text(), "--behave",
-                          m_options.behaviour},
-                         m_folder + "/target-" + std::to_string(index) + ".log");
+    if (auto started = target.start(
+            {program_folder() + "/standin-target", "--listen",
+             m_target_addresses[index].text(), "--behave", m_options.behaviour},
+            m_folder + "/target-" + std::to_string(index) + ".log");
         !started)
         return started;
     const auto line = target.read_listening();
@@ -278,8 +280,8 @@
     std::string seeds;
     for (std::size_t i = 0; i < std::min(seed_count + 1, m_nodes.size()); ++i)
         if (i != index && m_nodes[i].advertise_rpc.port != 0)
-            seeds += (seeds.empty() ? "" : ", ") +
-                     m_nodes[i].advertise_rpc.text();
+            seeds +=
+                (seeds.empty() ? "" : ", ") + m_nodes[i].advertise_rpc.text();
     all["mesh.seeds"] = "[" + seeds + "]";
     for (const auto& [path, value] : m_options.settings)
         all[path] = value;
@@ -305,10 +307,9 @@
     const auto base = m_folder + "/node-" + std::to_string(index);
     const auto launch = [&]() -> result<void>
     {
-        if (auto started =
-                node.runs.start({program_folder() + "/tillerd", "--config",
-                                 base + ".yaml"},
-                                base + ".log", {{"TILLER_TOKEN", m_token}});
+        if (auto started = node.runs.start(
+                {program_folder() + "/tillerd", "--config", base + ".yaml"},
+                base + ".log", {{"TILLER_TOKEN", m_token}});
             !started)
             return started;
         const auto line = node.runs.read_listening();
@@ -446,8 +447,8 @@
     const auto shown = status(index);
     const auto running = std::ranges::count_if(
         m_nodes, [](node_process& each) { return each.runs.is_running(); });
-    return !shown.empty() && shown.at("targets_serving").to_number<long>() ==
-                                 running;
+    return !shown.empty() &&
+           shown.at("targets_serving").to_number<long>() == running;
 }
 
 bool cluster::wait_until(const std::function<bool()>& holds, duration limit)
--- a/benchmark/harness/process.cpp
+++ b/benchmark/harness/process.cpp
@@ -93,9 +93,10 @@
     return *this;
 }
 
-result<void> process::start(const std::vector<std::string>& argv,
-                            const std::string& log_path,
-                            const std::map<std::string, std::string>& environment)
+result<void>
+process::start(const std::vector<std::string>& argv,
+               const std::string& log_path,
+               const std::map<std::string, std::string>& environment)
 {
     kill();
     std::array<int, 2> pipe{};
--- a/benchmark/harness/process.hpp
+++ b/benchmark/harness/process.hpp
@@ -35,9 +35,10 @@
      * Starts @p argv with standard error to @p log_path.
      * @param environment added to this process's own
      */
-    result<void> start(const std::vector<std::string>& argv,
-                       const std::string& log_path,
-                       const std::map<std::string, std::string>& environment = {});
+    result<void>
+    start(const std::vector<std::string>& argv,
+          const std::string& log_path,
+          const std::map<std::string, std::string>& environment = {});
 
     /** Reads the one line of JSON by which it says where it listens. */
     result<boost::json::object> read_listening();
--- a/benchmark/tiller_bench.cpp
+++ b/benchmark/tiller_bench.cpp
@@ -15,7 +15,8 @@
 {
 
 constexpr std::array experiment_table{
-    experiment{"demo", "the whole path, from an edited cell to calls obeying it",
+    experiment{"demo",
+               "the whole path, from an edited cell to calls obeying it",
                run_demo},
     experiment{"convergence", "convergence time and control bytes by strategy",
                run_convergence},
@@ -107,8 +108,8 @@
     if (values.empty())
         return 0;
     std::ranges::sort(values);
-    const auto at = static_cast<std::size_t>(
-        share * static_cast<double>(values.size()));
+    const auto at =
+        static_cast<std::size_t>(share * static_cast<double>(values.size()));
     return values[std::min(at, values.size() - 1)];
 }
 
--- a/include/tillerhall/core/await.hpp
+++ b/include/tillerhall/core/await.hpp
@@ -78,21 +78,21 @@
 {
 
 template <class... Values>
-class async_result<tillerhall::await, void(boost::system::error_code, Values...)>
+class async_result<tillerhall::await,
+                   void(boost::system::error_code, Values...)>
 {
     static_assert(sizeof...(Values) <= 1);
-    using value_type =
-        std::tuple_element_t<0, std::tuple<std::decay_t<Values>...,
-                                           tillerhall::internal::no_value>>;
+    using value_type = std::tuple_element_t<
+        0,
+        std::tuple<std::decay_t<Values>..., tillerhall::internal::no_value>>;
 
 public:
     using return_type =
         std::conditional_t<sizeof...(Values) == 0, void, value_type>;
 
     template <class Initiation, class... Args>
-    static return_type initiate(Initiation&& start,
-                                tillerhall::await token,
-                                Args&&... args)
+    static return_type
+    initiate(Initiation&& start, tillerhall::await token, Args&&... args)
     {
         tillerhall::internal::await_state<value_type> state;
         std::forward<Initiation>(start)(
--- a/include/tillerhall/core/backoff.hpp
+++ b/include/tillerhall/core/backoff.hpp
@@ -15,7 +15,9 @@
 {
 public:
     backoff(duration least, duration most) noexcept
-        : m_least(least), m_most(most), m_last(least)
+        : m_least(least)
+        , m_most(most)
+        , m_last(least)
     {
     }
 
--- a/include/tillerhall/core/error.hpp
+++ b/include/tillerhall/core/error.hpp
@@ -1,4 +1,5 @@
-/** @file Error codes, their table of names and remedies, and the error value. */
+/** @file Error codes, their table of names and remedies, and the error value.
+ */
 #pragma once
 
 #include <string>
--- a/include/tillerhall/core/fiber_scheduler.hpp
+++ b/include/tillerhall/core/fiber_scheduler.hpp
@@ -19,7 +19,8 @@
 class fiber_scheduler : public boost::fibers::algo::algorithm
 {
 public:
-    explicit fiber_scheduler(boost::asio::io_context& io) noexcept : m_io(io)
+    explicit fiber_scheduler(boost::asio::io_context& io) noexcept
+        : m_io(io)
     {
     }
 
--- a/include/tillerhall/core/published.hpp
+++ b/include/tillerhall/core/published.hpp
@@ -17,7 +17,10 @@
 public:
     using pointer = boost::intrusive_ptr<const T>;
 
-    explicit published(pointer first) : m_current(std::move(first)) {}
+    explicit published(pointer first)
+        : m_current(std::move(first))
+    {
+    }
 
     /** @return the current value; it stays valid while it is held. */
     pointer get() const
--- a/include/tillerhall/core/random.hpp
+++ b/include/tillerhall/core/random.hpp
@@ -7,13 +7,17 @@
 namespace tillerhall
 {
 
-/** SplitMix64 (Steele et al., OOPSLA 2014): one word of state, fixed by its seed. */
+/** SplitMix64 (Steele et al., OOPSLA 2014): one word of state, fixed by its
+ * seed. */
 class random_source
 {
 public:
     using result_type = std::uint64_t;
 
-    explicit random_source(std::uint64_t seed) noexcept : m_state(seed) {}
+    explicit random_source(std::uint64_t seed) noexcept
+        : m_state(seed)
+    {
+    }
 
     static constexpr result_type min() noexcept { return 0; }
     static constexpr result_type max() noexcept
--- a/include/tillerhall/core/result.hpp
+++ b/include/tillerhall/core/result.hpp
@@ -14,8 +14,14 @@
 class result
 {
 public:
-    result(T value) : m_value(std::move(value)) {}
-    result(error reason) : m_reason(std::move(reason)) {}
+    result(T value)
+        : m_value(std::move(value))
+    {
+    }
+    result(error reason)
+        : m_reason(std::move(reason))
+    {
+    }
 
     explicit operator bool() const noexcept { return m_value.has_value(); }
     bool has_value() const noexcept { return m_value.has_value(); }
@@ -39,7 +45,10 @@
 {
 public:
     result() = default;
-    result(error reason) : m_reason(std::move(reason)) {}
+    result(error reason)
+        : m_reason(std::move(reason))
+    {
+    }
 
     explicit operator bool() const noexcept
     {
--- a/include/tillerhall/core/time.hpp
+++ b/include/tillerhall/core/time.hpp
@@ -12,7 +12,8 @@
 using duration = steady_clock::duration;
 using std::chrono::milliseconds;
 
-/** @return microseconds of wall time since 1970; for reports, never for order. */
+/** @return microseconds of wall time since 1970; for reports, never for order.
+ */
 std::int64_t wall_clock_us() noexcept;
 
 /** @return @p span in whole milliseconds, rounded down. */
--- a/include/tillerhall/core/token_bucket.hpp
+++ b/include/tillerhall/core/token_bucket.hpp
@@ -11,7 +11,9 @@
 {
 public:
     token_bucket(double per_second, double burst) noexcept
-        : m_per_second(per_second), m_burst(burst), m_tokens(burst)
+        : m_per_second(per_second)
+        , m_burst(burst)
+        , m_tokens(burst)
     {
     }
 
--- a/include/tillerhall/distribution/circuit_breaker.hpp
+++ b/include/tillerhall/distribution/circuit_breaker.hpp
@@ -19,7 +19,8 @@
 {
 public:
     explicit circuit_breaker(breaker_limits limits = {}) noexcept
-        : m_limits(limits), m_waits(limits.least_open, limits.most_open)
+        : m_limits(limits)
+        , m_waits(limits.least_open, limits.most_open)
     {
     }
 
--- a/include/tillerhall/distribution/strategy.hpp
+++ b/include/tillerhall/distribution/strategy.hpp
@@ -14,7 +14,7 @@
 /** How a node asks the source by itself. */
 enum class source_polling
 {
-    none,          ///< only as a chosen reader
+    none,           ///< only as a chosen reader
     head_each_node, ///< every node reads the head, the table on change
     whole_each_node ///< every node reads the whole table each time
 };
--- a/include/tillerhall/distribution/update_log.hpp
+++ b/include/tillerhall/distribution/update_log.hpp
@@ -23,8 +23,7 @@
     void clear() { m_updates.clear(); }
 
     /** @return the deltas from @p version + 1 up, if all are still kept. */
-    std::optional<std::vector<table_update>>
-    since(std::uint64_t version) const;
+    std::optional<std::vector<table_update>> since(std::uint64_t version) const;
 
 private:
     std::deque<table_update> m_updates;
--- a/include/tillerhall/distribution/version_gate.hpp
+++ b/include/tillerhall/distribution/version_gate.hpp
@@ -14,12 +14,12 @@
 /** What the gate did with an update. */
 enum class gate_decision
 {
-    applied,       ///< the current view is now a newer one
-    old,           ///< not newer than the current version; dropped
+    applied,        ///< the current view is now a newer one
+    old,            ///< not newer than the current version; dropped
     missing_parent, ///< held until the versions before it come
-    waiting_names, ///< held until its services and places are known
-    corrupt,       ///< the result does not match the digest; dropped
-    too_far        ///< no room to hold it; dropped, to be pulled later
+    waiting_names,  ///< held until its services and places are known
+    corrupt,        ///< the result does not match the digest; dropped
+    too_far         ///< no room to hold it; dropped, to be pulled later
 };
 
 std::string_view name_of(gate_decision decision) noexcept;
--- a/include/tillerhall/http/api_client.hpp
+++ b/include/tillerhall/http/api_client.hpp
@@ -26,7 +26,8 @@
 {
 public:
     api_client(boost::asio::io_context& io, address server)
-        : m_io(io), m_server(std::move(server))
+        : m_io(io)
+        , m_server(std::move(server))
     {
     }
 
--- a/include/tillerhall/http/inbound_call.hpp
+++ b/include/tillerhall/http/inbound_call.hpp
@@ -39,13 +39,15 @@
     /** Reads the head; waits for it up to the stream's own deadline. */
     head_status read_head();
 
-    /** Reads the body's first part into `prefix()`. @return false if it broke. */
+    /** Reads the body's first part into `prefix()`. @return false if it broke.
+     */
     bool read_prefix();
 
     /** @return whether the whole body is in `prefix()`. */
     bool is_whole() const { return m_parser.is_done(); }
 
-    /** Reads the next piece after the prefix. @return its size, 0 at the end. */
+    /** Reads the next piece after the prefix. @return its size, 0 at the end.
+     */
     result<std::size_t> read_piece(std::span<char> into);
 
     const request_head& head() const { return m_parser.get().base(); }
--- a/include/tillerhall/http/listener.hpp
+++ b/include/tillerhall/http/listener.hpp
@@ -34,7 +34,8 @@
     /** Stops accepting; connections already open go on. */
     void close();
 
-    /** @return the address bound, its port chosen by the system if 0 was asked. */
+    /** @return the address bound, its port chosen by the system if 0 was asked.
+     */
     const address& local() const noexcept { return m_local; }
 
     std::size_t open_connections() const noexcept { return m_open; }
--- a/include/tillerhall/http/message.hpp
+++ b/include/tillerhall/http/message.hpp
@@ -28,7 +28,7 @@
     std::string body;
     std::string content_type = "application/json";
     std::map<std::string, std::string> fields; ///< of a response received
-    bool drop = false; ///< a server closes instead of answering
+    bool drop = false;        ///< a server closes instead of answering
     std::size_t wire_in = 0;  ///< bytes read from the socket for it
     std::size_t wire_out = 0; ///< bytes written to the socket for it
 };
--- a/include/tillerhall/http/relay.hpp
+++ b/include/tillerhall/http/relay.hpp
@@ -24,12 +24,12 @@
 struct relay_result
 {
     relay_end end = relay_end::unknown;
-    unsigned status = 0;       ///< of the answer
-    std::string detail;        ///< why, when not answered
-    std::string retry_after;   ///< of a refusal, seconds as text
+    unsigned status = 0;        ///< of the answer
+    std::string detail;         ///< why, when not answered
+    std::string retry_after;    ///< of a refusal, seconds as text
     std::optional<double> load; ///< the owner's word
-    bool reusable = false;     ///< the upstream connection may carry another
-    bool started = false;      ///< at least one byte went upstream
+    bool reusable = false;      ///< the upstream connection may carry another
+    bool started = false;       ///< at least one byte went upstream
 };
 
 /** Who vouches for a refusal that comes from upstream. */
@@ -43,11 +43,11 @@
 struct relay_plan
 {
     upstream_kind upstream = upstream_kind::target;
-    request_head head;            ///< as it goes upstream, framing excluded
-    time_point deadline;          ///< for the whole exchange
-    std::string not_run_header;   ///< the target's sign of a call not run
-    std::string request_id;       ///< set in the answer
-    std::optional<double> load;   ///< set in the answer, for an entry node
+    request_head head;          ///< as it goes upstream, framing excluded
+    time_point deadline;        ///< for the whole exchange
+    std::string not_run_header; ///< the target's sign of a call not run
+    std::string request_id;     ///< set in the answer
+    std::optional<double> load; ///< set in the answer, for an entry node
 };
 
 /**
--- a/include/tillerhall/http/stream_pool.hpp
+++ b/include/tillerhall/http/stream_pool.hpp
@@ -21,7 +21,9 @@
     stream_pool(boost::asio::io_context& io,
                 std::size_t most_idle,
                 std::string from_ip)
-        : m_io(io), m_most_idle(most_idle), m_from_ip(std::move(from_ip))
+        : m_io(io)
+        , m_most_idle(most_idle)
+        , m_from_ip(std::move(from_ip))
     {
     }
 
--- a/include/tillerhall/membership/member.hpp
+++ b/include/tillerhall/membership/member.hpp
@@ -43,9 +43,9 @@
 /** One node's record, written by itself except for suspect and dead. */
 struct member
 {
-    address rpc;      ///< control address; names the node
-    address peer;     ///< takes calls from other nodes
-    address caller;   ///< takes calls from callers
+    address rpc;       ///< control address; names the node
+    address peer;      ///< takes calls from other nodes
+    address caller;    ///< takes calls from callers
     address operators; ///< operator API
     member_place place;
     std::string service; ///< of its target
--- a/include/tillerhall/membership/suspicion.hpp
+++ b/include/tillerhall/membership/suspicion.hpp
@@ -27,7 +27,10 @@
 public:
     static constexpr unsigned most_stretch = 8;
 
-    explicit suspicion(suspicion_limits limits = {}) : m_limits(limits) {}
+    explicit suspicion(suspicion_limits limits = {})
+        : m_limits(limits)
+    {
+    }
 
     /** A heartbeat to @p node got no answer. @return whether it is news. */
     bool failed(member_list& members, const address& node, time_point now);
--- a/include/tillerhall/node/accept_controller.hpp
+++ b/include/tillerhall/node/accept_controller.hpp
@@ -18,7 +18,8 @@
 {
     config_table table;
     std::uint64_t base = 0; ///< the version it was edited from
-    std::string accept_id;  ///< names this accept; the same id never counts twice
+    std::string
+        accept_id; ///< names this accept; the same id never counts twice
     std::string author;
     bool rebase = false; ///< take newer versions' edits of other cells in
 };
@@ -34,9 +35,9 @@
 
     /** Set when nothing was accepted. */
     std::optional<error> refused;
-    std::vector<error> problems;          ///< of the table
+    std::vector<error> problems;           ///< of the table
     std::vector<merge_conflict> conflicts; ///< with a newer version
-    std::uint64_t head = 0;               ///< the newer version
+    std::uint64_t head = 0;                ///< the newer version
     std::string rebased_draft; ///< CSV that would fit, when cells are disjoint
 };
 
@@ -50,7 +51,9 @@
     accept_controller(mesh_state& mesh,
                       distribution_controller& tables,
                       table_store& store)
-        : m_mesh(mesh), m_tables(tables), m_store(store)
+        : m_mesh(mesh)
+        , m_tables(tables)
+        , m_store(store)
     {
     }
 
--- a/include/tillerhall/node/call_context.hpp
+++ b/include/tillerhall/node/call_context.hpp
@@ -15,7 +15,7 @@
 {
     std::string service;
     std::string request_id;
-    std::string caller;      ///< the calling service, or an IP number
+    std::string caller; ///< the calling service, or an IP number
     time_point start;
     time_point deadline;     ///< the caller's own, if it gave one
     bool repeatable = false; ///< by its method; a row may allow more
--- a/include/tillerhall/node/journal.hpp
+++ b/include/tillerhall/node/journal.hpp
@@ -33,7 +33,8 @@
               std::string reason,
               boost::json::object figures = {});
 
-    /** @return entries about @p subject, or all if it is empty; oldest first. */
+    /** @return entries about @p subject, or all if it is empty; oldest first.
+     */
     std::vector<journal_entry> about(const std::string& subject) const;
 
 private:
--- a/include/tillerhall/node/membership_controller.hpp
+++ b/include/tillerhall/node/membership_controller.hpp
@@ -57,8 +57,17 @@
     void sync_with(const address& peer);
     void resume();
     void bury_overdue();
-    void merge(const member& record, const char* source);
-    void merge_all(const std::vector<member>& records, const char* source);
+    /** Whether a record that is news here is passed on with heartbeats. */
+    enum class spreading
+    {
+        none,
+        by_rumor
+    };
+
+    void merge(const member& record, const char* source, spreading spread);
+    void merge_all(const std::vector<member>& records,
+                   const char* source,
+                   spreading spread);
     void broadcast(const announce_message& message);
     std::vector<address> some_peers(std::size_t count);
 
--- a/include/tillerhall/node/mesh_state.hpp
+++ b/include/tillerhall/node/mesh_state.hpp
@@ -28,7 +28,8 @@
     {
     }
 
-    /** Heartbeat successors, their like the other way, and a tree's children. */
+    /** Heartbeat successors, their like the other way, and a tree's children.
+     */
     static constexpr std::size_t idle_connections = 16;
 
     const settings& config;
--- a/include/tillerhall/node/pulse.hpp
+++ b/include/tillerhall/node/pulse.hpp
@@ -18,7 +18,8 @@
 public:
     /** @param limit longest time without a tick that is no pause */
     explicit pulse(duration limit = std::chrono::seconds(2)) noexcept
-        : m_limit_ms(to_ms(limit)), m_last_ms(now_ms())
+        : m_limit_ms(to_ms(limit))
+        , m_last_ms(now_ms())
     {
     }
 
--- a/include/tillerhall/observe/latency_histogram.hpp
+++ b/include/tillerhall/observe/latency_histogram.hpp
@@ -23,8 +23,8 @@
     /** @return the value below which @p share (0..1) of all lie; 0 if empty. */
     double quantile(double share) const;
 
-    /** @return how many values lie above @p ms. */
-    std::uint64_t count_above(double ms) const;
+    /** @return about how many values lie above @p ms. */
+    double count_above(double ms) const;
 
     std::uint64_t count() const;
 
--- a/include/tillerhall/observe/metrics.hpp
+++ b/include/tillerhall/observe/metrics.hpp
@@ -34,7 +34,8 @@
     std::atomic<std::int64_t> m_value{0};
 };
 
-/** Owns every metric of a process. Lock order: a leaf, nothing is held with it. */
+/** Owns every metric of a process. Lock order: a leaf, nothing is held with it.
+ */
 class metrics_registry
 {
 public:
@@ -45,7 +46,8 @@
      */
     metric& get(const std::string& name, const std::string& labels = {});
 
-    /** @return the histogram of milliseconds called @p name, made on first use. */
+    /** @return the histogram of milliseconds called @p name, made on first use.
+     */
     latency_histogram& histogram(const std::string& name,
                                  const std::string& labels = {});
 
--- a/include/tillerhall/platform/http_platform.hpp
+++ b/include/tillerhall/platform/http_platform.hpp
@@ -1,4 +1,5 @@
-/** @file The three platform services over HTTP and JSON; see docs/PLATFORM.md. */
+/** @file The three platform services over HTTP and JSON; see docs/PLATFORM.md.
+ */
 #pragma once
 
 #include "tillerhall/http/api_client.hpp"
@@ -18,7 +19,9 @@
                         const address& server,
                         duration timeout,
                         traffic_counters& traffic)
-        : m_client(io, server), m_timeout(timeout), m_traffic(traffic)
+        : m_client(io, server)
+        , m_timeout(timeout)
+        , m_traffic(traffic)
     {
     }
 
--- a/include/tillerhall/platform/table_service.hpp
+++ b/include/tillerhall/platform/table_service.hpp
@@ -43,8 +43,8 @@
     virtual result<std::optional<table_item>> get(const std::string& key) = 0;
 
     /** @return up to @p limit items with @p prefix, greatest key first. */
-    virtual result<std::vector<table_item>>
-    list_last(const std::string& prefix, std::size_t limit) = 0;
+    virtual result<std::vector<table_item>> list_last(const std::string& prefix,
+                                                      std::size_t limit) = 0;
 
     /**
      * @return whether it was committed; `unavailable` means that it was not,
--- a/include/tillerhall/platform/table_store.hpp
+++ b/include/tillerhall/platform/table_store.hpp
@@ -39,7 +39,8 @@
 {
 public:
     table_store(table_service& tables, object_store& objects)
-        : m_tables(tables), m_objects(objects)
+        : m_tables(tables)
+        , m_objects(objects)
     {
     }
 
--- a/include/tillerhall/routing/route_view.hpp
+++ b/include/tillerhall/routing/route_view.hpp
@@ -32,7 +32,10 @@
 class route_view : public boost::intrusive_ref_counter<route_view>
 {
 public:
-    route_view() : m_table(new table_view) {}
+    route_view()
+        : m_table(new table_view)
+    {
+    }
     route_view(table_view_ptr table, const member_list& members);
 
     std::uint64_t version() const noexcept { return m_table->version(); }
--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -41,7 +41,8 @@
 {
 public:
     explicit target_board(const choice_policy& policy, std::uint64_t seed)
-        : m_policy(policy), m_random(seed)
+        : m_policy(policy)
+        , m_random(seed)
     {
     }
 
--- a/include/tillerhall/rpc/codec.hpp
+++ b/include/tillerhall/rpc/codec.hpp
@@ -39,8 +39,8 @@
      * Sends one frame and waits for the answering frame.
      * @return false when the exchange failed; the text is then the reason.
      */
-    using exchange = std::function<bool(const std::string& request,
-                                        std::string& answer)>;
+    using exchange =
+        std::function<bool(const std::string& request, std::string& answer)>;
 
     explicit rpc_client_codec(exchange transport);
     ~rpc_client_codec();
--- a/include/tillerhall/rpc/server.hpp
+++ b/include/tillerhall/rpc/server.hpp
@@ -27,7 +27,8 @@
     static constexpr std::size_t longest_frame = 4 * 1024 * 1024;
 
     rpc_server(traffic_counters& traffic, metrics_registry& metrics)
-        : m_traffic(traffic), m_metrics(metrics)
+        : m_traffic(traffic)
+        , m_metrics(metrics)
     {
     }
 
--- a/include/tillerhall/table/delta.hpp
+++ b/include/tillerhall/table/delta.hpp
@@ -43,7 +43,8 @@
 /** Reads the compact JSON form. */
 result<table_delta> delta_from_json(const boost::json::value& value);
 
-/** @return one line a change for people, such as "oogstbeurs polder-a weight: 100 -> 80". */
+/** @return one line a change for people, such as "oogstbeurs polder-a weight:
+ * 100 -> 80". */
 std::vector<std::string> describe(const table_delta& changes);
 
 } // namespace tillerhall
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -81,7 +81,9 @@
 }
 
 error::error(error_code code, std::string detail, std::string remedy)
-    : m_code(code), m_detail(std::move(detail)), m_remedy(std::move(remedy))
+    : m_code(code)
+    , m_detail(std::move(detail))
+    , m_remedy(std::move(remedy))
 {
     if (m_remedy.empty())
         m_remedy = remedy_of(code);
--- a/src/core/fiber_scheduler.cpp
+++ b/src/core/fiber_scheduler.cpp
@@ -39,9 +39,8 @@
     const std::chrono::steady_clock::time_point& until) noexcept
 {
     // Reached only when the main fiber itself waits, as at shutdown.
-    m_io.run_one_until(
-        std::min(until, std::chrono::steady_clock::now() +
-                            std::chrono::milliseconds(10)));
+    m_io.run_one_until(std::min(until, std::chrono::steady_clock::now() +
+                                           std::chrono::milliseconds(10)));
 }
 
 void fiber_scheduler::notify() noexcept
--- a/src/core/time.cpp
+++ b/src/core/time.cpp
@@ -5,7 +5,8 @@
 
 std::int64_t wall_clock_us() noexcept
 {
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto since_epoch =
+        std::chrono::system_clock::now().time_since_epoch();
     return std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
         .count();
 }
--- a/src/core/worker.cpp
+++ b/src/core/worker.cpp
@@ -25,7 +25,10 @@
 
 } // namespace
 
-worker::worker() : m_guard(m_io.get_executor()) {}
+worker::worker()
+    : m_guard(m_io.get_executor())
+{
+}
 
 void worker::run()
 {
--- a/src/distribution/key_range.cpp
+++ b/src/distribution/key_range.cpp
@@ -2,8 +2,8 @@
 #include "tillerhall/core/digest.hpp"
 
 #include <algorithm>
-#include <boost/json.hpp>
 #include <array>
+#include <boost/json.hpp>
 #include <charconv>
 #include <span>
 
@@ -46,8 +46,8 @@
         order[i] = i;
     std::ranges::shuffle(order, random);
     std::ranges::stable_partition(
-        order, [&](std::size_t i)
-        { return group[i].record.place == self.place; });
+        order,
+        [&](std::size_t i) { return group[i].record.place == self.place; });
     std::vector<address> chosen;
     for (std::size_t i = 0; i < std::min(most_candidates, order.size()); ++i)
         chosen.push_back(group[order[i]].record.rpc);
@@ -57,9 +57,8 @@
 using member_group = std::span<const keyed_member>;
 
 /** Cuts @p inside into equal groups, none of which straddles @p own_key. */
-std::vector<member_group> group(member_group inside,
-                                std::size_t fanout,
-                                std::uint64_t own_key)
+std::vector<member_group>
+group(member_group inside, std::size_t fanout, std::uint64_t own_key)
 {
     const auto count = std::min(fanout, inside.size());
     std::vector<member_group> groups;
@@ -137,8 +136,7 @@
         const bool is_last = i + 1 == groups.size();
         range_part part;
         part.range.least = least;
-        part.range.most =
-            is_last ? range.most : groups[i + 1].front().key - 1;
+        part.range.most = is_last ? range.most : groups[i + 1].front().key - 1;
         least = part.range.most + 1;
         exclude(own_key, groups[i], part.range);
         part.live_members = groups[i].size();
--- a/src/distribution/reader_choice.cpp
+++ b/src/distribution/reader_choice.cpp
@@ -18,13 +18,14 @@
     const auto& self = members.self();
     const auto own = weight_of(self);
     const auto all = members.all();
-    const auto greater = std::ranges::count_if(
-        all,
-        [&](const member& each)
-        {
-            return each.place == self.place &&
-                   each.state == member_state::alive && weight_of(each) > own;
-        });
+    const auto greater =
+        std::ranges::count_if(all,
+                              [&](const member& each)
+                              {
+                                  return each.place == self.place &&
+                                         each.state == member_state::alive &&
+                                         weight_of(each) > own;
+                              });
     return static_cast<std::size_t>(greater) < per_domain;
 }
 
--- a/src/distribution/strategy.cpp
+++ b/src/distribution/strategy.cpp
@@ -53,9 +53,9 @@
                      random_source& random) const override
     {
         auto others = members.all();
-        std::erase_if(others, [&](const member& each)
-                      { return !is_live(each) ||
-                               each.rpc == members.self().rpc; });
+        std::erase_if(
+            others, [&](const member& each)
+            { return !is_live(each) || each.rpc == members.self().rpc; });
         std::ranges::shuffle(others, random);
         others.resize(std::min(fanout, others.size()));
         parts chosen;
@@ -106,13 +106,16 @@
 const epidemic_strategy epidemic;
 const pull_strategy readers("readers",
                             "readers poll, others pull after heartbeats",
-                            source_polling::none, true);
+                            source_polling::none,
+                            true);
 const pull_strategy poll("poll",
                          "every node takes the whole table from the source",
-                         source_polling::whole_each_node, false);
+                         source_polling::whole_each_node,
+                         false);
 const pull_strategy poll_head("poll_head",
                               "every node polls the head, the table on change",
-                              source_polling::head_each_node, false);
+                              source_polling::head_each_node,
+                              false);
 
 constexpr std::array<const distribution_strategy*, 5> strategy_list{
     &tree, &epidemic, &readers, &poll, &poll_head};
@@ -126,8 +129,8 @@
 
 result<const distribution_strategy*> find_strategy(std::string_view name)
 {
-    const auto found = std::ranges::find(strategy_list, name,
-                                         &distribution_strategy::name);
+    const auto found =
+        std::ranges::find(strategy_list, name, &distribution_strategy::name);
     if (found != strategy_list.end())
         return *found;
     std::string known = "choose one of:";
--- a/src/distribution/update_log.cpp
+++ b/src/distribution/update_log.cpp
@@ -21,8 +21,7 @@
         return std::nullopt;
     const auto skip =
         static_cast<long>(version + 1 - m_updates.front().version);
-    return std::vector<table_update>(m_updates.begin() + skip,
-                                     m_updates.end());
+    return std::vector<table_update>(m_updates.begin() + skip, m_updates.end());
 }
 
 } // namespace tillerhall
--- a/src/distribution/version_gate.cpp
+++ b/src/distribution/version_gate.cpp
@@ -8,8 +8,7 @@
 namespace
 {
 constexpr std::array<std::string_view, 6> decision_names{
-    "applied",       "old",     "missing_parent",
-    "waiting_names", "corrupt", "too_far"};
+    "applied", "old", "missing_parent", "waiting_names", "corrupt", "too_far"};
 } // namespace
 
 std::string_view name_of(gate_decision decision) noexcept
@@ -96,9 +95,8 @@
     if (!m_known(table))
         return gate_decision::waiting_names;
     const auto before = m_current;
-    m_current =
-        table_view_ptr(new table_view(update.version, update.digest,
-                                      update.accepted_us, std::move(table)));
+    m_current = table_view_ptr(new table_view(
+        update.version, update.digest, update.accepted_us, std::move(table)));
     drop_held_up_to(update.version);
     if (m_applied)
         m_applied(*before, *m_current);
--- a/src/http/api_server.cpp
+++ b/src/http/api_server.cpp
@@ -67,14 +67,13 @@
         stream.expires_after(limits.read_timeout);
         boost::system::error_code failed;
         http::async_read(stream, buffer, parser, await{failed});
-        if (failed && failed.category() ==
-                          http::make_error_code(http::error::bad_method)
-                              .category() &&
+        if (failed &&
+            failed.category() ==
+                http::make_error_code(http::error::bad_method).category() &&
             failed != http::error::end_of_stream)
             send(stream,
-                 {status_for(failed),
-                  R"({"error":"bad_syntax","detail":")" + failed.message() +
-                      "\"}"},
+                 {status_for(failed), R"({"error":"bad_syntax","detail":")" +
+                                          failed.message() + "\"}"},
                  false);
         if (failed)
             break;
--- a/src/http/caller_watch.cpp
+++ b/src/http/caller_watch.cpp
@@ -20,7 +20,8 @@
 } // namespace
 
 caller_watch::caller_watch(tcp_stream& caller, tcp_stream& upstream)
-    : m_caller(caller), m_state(std::make_shared<state>())
+    : m_caller(caller)
+    , m_state(std::make_shared<state>())
 {
     m_caller.socket().async_wait(
         boost::asio::socket_base::wait_read,
--- a/src/http/fields.cpp
+++ b/src/http/fields.cpp
@@ -12,12 +12,16 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::array hop_fields{
-    http::field::connection,         http::field::keep_alive,
-    http::field::proxy_authenticate, http::field::proxy_authorization,
-    http::field::proxy_connection,   http::field::te,
-    http::field::trailer,            http::field::transfer_encoding,
-    http::field::upgrade,            http::field::expect};
+constexpr std::array hop_fields{http::field::connection,
+                                http::field::keep_alive,
+                                http::field::proxy_authenticate,
+                                http::field::proxy_authorization,
+                                http::field::proxy_connection,
+                                http::field::te,
+                                http::field::trailer,
+                                http::field::transfer_encoding,
+                                http::field::upgrade,
+                                http::field::expect};
 
 } // namespace
 
@@ -49,9 +53,9 @@
         return "Content-Length and Transfer-Encoding stand together";
     if (head.count(http::field::content_length) > 1)
         return "Content-Length stands twice";
-    if (encodings > 1 ||
-        (encodings == 1 && !boost::beast::iequals(
-                               head[http::field::transfer_encoding], "chunked")))
+    if (encodings > 1 || (encodings == 1 &&
+                          !boost::beast::iequals(
+                              head[http::field::transfer_encoding], "chunked")))
         return "the only Transfer-Encoding taken is chunked";
     return {};
 }
--- a/src/http/inbound_call.cpp
+++ b/src/http/inbound_call.cpp
@@ -14,7 +14,8 @@
 
 inbound_call::inbound_call(tcp_stream& stream,
                            boost::beast::flat_buffer& buffer)
-    : m_stream(stream), m_buffer(buffer)
+    : m_stream(stream)
+    , m_buffer(buffer)
 {
     m_parser.header_limit(largest_head);
     m_parser.body_limit(boost::none);
@@ -55,8 +56,8 @@
         return true;
     if (expects_continue() && !send_continue())
         return false;
-    const auto wanted =
-        std::min<std::uint64_t>(largest_prefix, length().value_or(largest_prefix));
+    const auto wanted = std::min<std::uint64_t>(
+        largest_prefix, length().value_or(largest_prefix));
     m_prefix.resize(wanted);
     boost::system::error_code failed;
     const auto size = read_into(m_prefix, failed);
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -25,7 +25,9 @@
 {
 public:
     relay(inbound_call& call, tcp_stream& upstream, const relay_plan& plan)
-        : m_call(call), m_upstream(upstream), m_plan(plan)
+        : m_call(call)
+        , m_upstream(upstream)
+        , m_plan(plan)
     {
     }
 
@@ -125,13 +127,12 @@
         m_parser->body_limit(boost::none);
         m_parser->skip(m_plan.head.method() == http::verb::head);
         boost::system::error_code failed;
-        http::async_read_header(m_upstream, m_buffer, *m_parser,
-                                await{failed});
+        http::async_read_header(m_upstream, m_buffer, *m_parser, await{failed});
         if (!failed)
             return true;
         m_parser.reset();
-        return end(relay_end::unknown,
-                   "no answer came: " + failed.message(), failed);
+        return end(relay_end::unknown, "no answer came: " + failed.message(),
+                   failed);
     }
 
     bool read_answer_head()
@@ -148,9 +149,8 @@
                     m_result.end = relay_end::caller_gone;
                 return false;
             }
-            informational =
-                http::to_status_class(m_parser->get().result()) ==
-                http::status_class::informational;
+            informational = http::to_status_class(m_parser->get().result()) ==
+                            http::status_class::informational;
         }
         return true;
     }
@@ -227,8 +227,8 @@
         if (failed)
         {
             // Nothing has gone to the caller yet, so it can be told.
-            end(relay_end::unknown,
-                "the answer broke off: " + failed.message(), failed);
+            end(relay_end::unknown, "the answer broke off: " + failed.message(),
+                failed);
             return;
         }
         // The caller's stream has its own clock while it takes the answer.
--- a/src/http/stream.cpp
+++ b/src/http/stream.cpp
@@ -49,7 +49,7 @@
     stream->expires_after(timeout);
     if (!failed)
         stream->async_connect(boost::asio::ip::tcp::endpoint(ip, to.port),
-                          await{failed});
+                              await{failed});
     if (failed)
         return error(error_code::connection_failed,
                      "no connection to " + to.text() + ": " + failed.message());
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -11,8 +11,8 @@
 
 namespace json = boost::json;
 
-constexpr std::array<std::string_view, 4> member_state_names{
-    "alive", "leaving", "suspect", "dead"};
+constexpr std::array<std::string_view, 4> member_state_names{"alive", "leaving",
+                                                             "suspect", "dead"};
 constexpr std::array<std::string_view, 3> target_state_names{
     "serving", "draining", "down"};
 
--- a/src/membership/member_list.cpp
+++ b/src/membership/member_list.cpp
@@ -7,7 +7,8 @@
 namespace tillerhall
 {
 
-member_list::member_list(member self) : m_self(self.rpc)
+member_list::member_list(member self)
+    : m_self(self.rpc)
 {
     store(self);
 }
@@ -106,8 +107,8 @@
 
 std::uint64_t member_list::digest() const noexcept
 {
-    return std::accumulate(m_buckets.begin(), m_buckets.end(),
-                           std::uint64_t{0}, std::bit_xor<>());
+    return std::accumulate(m_buckets.begin(), m_buckets.end(), std::uint64_t{0},
+                           std::bit_xor<>());
 }
 
 std::vector<member> member_list::bucket(std::size_t index) const
--- a/src/membership/rumor_queue.cpp
+++ b/src/membership/rumor_queue.cpp
@@ -20,8 +20,9 @@
     std::ranges::partial_sort(least_sent,
                               least_sent.begin() + static_cast<long>(count));
     least_sent.resize(count);
-    const auto limit = repeat_factor * static_cast<unsigned>(std::bit_width(
-                                           members.live_count() + 1));
+    const auto limit =
+        repeat_factor *
+        static_cast<unsigned>(std::bit_width(members.live_count() + 1));
     std::vector<member> records;
     for (const auto& [sent, node] : least_sent)
     {
--- a/src/membership/suspicion.cpp
+++ b/src/membership/suspicion.cpp
@@ -20,8 +20,7 @@
     if (known == nullptr || !is_live(*known))
         return false;
     m_since.try_emplace(node, now);
-    return members.accuse(node, member_state::suspect) ==
-           merge_result::changed;
+    return members.accuse(node, member_state::suspect) == merge_result::changed;
 }
 
 void suspicion::answered(const address& node)
--- a/src/node/accept_controller.cpp
+++ b/src/node/accept_controller.cpp
@@ -26,8 +26,8 @@
 
 std::vector<error> accept_controller::check(const config_table& table) const
 {
-    return check_table(table, {m_mesh.members.services(),
-                               m_mesh.members.places()});
+    return check_table(table,
+                       {m_mesh.members.services(), m_mesh.members.places()});
 }
 
 accept_outcome accept_controller::accept(accept_request request)
@@ -110,9 +110,9 @@
         outcome.rebased_draft = write_draft(merged.merged, head.version);
     }
     else
-        outcome.refused = error(
-            error_code::conflict, moved + " and changed the same cells",
-            "settle the cells shown, starting from `tiller show`");
+        outcome.refused =
+            error(error_code::conflict, moved + " and changed the same cells",
+                  "settle the cells shown, starting from `tiller show`");
     return outcome;
 }
 
@@ -140,10 +140,9 @@
         outcome.problems = std::move(problems);
         return outcome;
     }
-    const version_record record{outcome.version,   outcome.digest,
-                                head.digest,       request.accept_id,
-                                request.author,    wall_clock_us(),
-                                outcome.changes};
+    const version_record record{
+        outcome.version, outcome.digest,  head.digest,    request.accept_id,
+        request.author,  wall_clock_us(), outcome.changes};
     backoff waits(least_wait, most_wait);
     for (int i = 0; i < most_lost_answers; ++i)
     {
@@ -191,8 +190,7 @@
     return m_store.read_table(record->digest);
 }
 
-result<config_table>
-accept_controller::read_head_table(const table_head& head)
+result<config_table> accept_controller::read_head_table(const table_head& head)
 {
     if (head.version == 0)
         return config_table{};
--- a/src/node/call_context.cpp
+++ b/src/node/call_context.cpp
@@ -79,9 +79,8 @@
     const auto* const end = given.data() + given.size();
     const auto parsed = std::from_chars(given.data(), end, remaining_ms);
     if (!given.empty() && parsed.ec == std::errc() && parsed.ptr == end)
-        context.deadline =
-            now + milliseconds(std::clamp<std::int64_t>(remaining_ms, 0,
-                                                        longest_deadline_ms));
+        context.deadline = now + milliseconds(std::clamp<std::int64_t>(
+                                     remaining_ms, 0, longest_deadline_ms));
     return context;
 }
 
@@ -95,8 +94,8 @@
     remove_mesh_fields(onward);
     onward.version(11);
     onward.set(field_name::request_id, context.request_id);
-    onward.set(field_name::deadline,
-               std::to_string(std::max<std::int64_t>(0, to_ms(deadline - now))));
+    onward.set(field_name::deadline, std::to_string(std::max<std::int64_t>(
+                                         0, to_ms(deadline - now))));
     return onward;
 }
 
@@ -131,12 +130,12 @@
         response.set(http::field::retry_after, problem.retry_after);
     if (load)
         response.set(field_name::load, std::to_string(*load));
-    response.body() = boost::json::serialize(
-        boost::json::object{{"title", problem.title},
-                            {"status", problem.status},
-                            {"detail", problem.detail},
-                            {"remedy", problem.remedy},
-                            {"request_id", request_id}});
+    response.body() =
+        boost::json::serialize(boost::json::object{{"title", problem.title},
+                                                   {"status", problem.status},
+                                                   {"detail", problem.detail},
+                                                   {"remedy", problem.remedy},
+                                                   {"request_id", request_id}});
     response.prepare_payload();
     response.keep_alive(call.can_keep_alive());
     if (call.head().method() == http::verb::head)
--- a/src/node/distribution_controller.cpp
+++ b/src/node/distribution_controller.cpp
@@ -81,13 +81,12 @@
 {
     const auto& services = m_mesh.members.services();
     const auto& places = m_mesh.members.places();
-    return std::ranges::all_of(
-        table.rows(),
-        [&](const row& each)
-        {
-            return services.contains(each.key.service) &&
-                   places.contains(each.key.place);
-        });
+    return std::ranges::all_of(table.rows(),
+                               [&](const row& each)
+                               {
+                                   return services.contains(each.key.service) &&
+                                          places.contains(each.key.place);
+                               });
 }
 
 void distribution_controller::after_swap(const table_view& before,
@@ -161,9 +160,8 @@
     const auto params = to_json(message);
     for (const auto& each : candidates)
     {
-        const auto answer =
-            m_mesh.pool.call({each, traffic_kind::delta, method::push, params,
-                              push_timeout});
+        const auto answer = m_mesh.pool.call(
+            {each, traffic_kind::delta, method::push, params, push_timeout});
         if (answer)
             return;
         m_mesh.board.metrics.get("tillerhall_push_failed_total").add();
@@ -262,7 +260,7 @@
         auto message = to_json(answer);
         // A long run of deltas can outgrow the table that it leads to.
         if (json::serialize(message).size() <
-            write_csv(current()->table()).size() ||
+                write_csv(current()->table()).size() ||
             answer.updates.size() == 1)
             return message;
         answer.updates.clear();
--- a/src/node/entry_proxy.cpp
+++ b/src/node/entry_proxy.cpp
@@ -30,9 +30,9 @@
 /** @return the longest time that any place gives a call of the service. */
 milliseconds longest_timeout(const service_route& route)
 {
-    const auto most = std::ranges::max(
-        route.places, {}, [](const place_route& each)
-        { return each.limits.timeout_ms; });
+    const auto most = std::ranges::max(route.places, {},
+                                       [](const place_route& each)
+                                       { return each.limits.timeout_ms; });
     return milliseconds(most.limits.timeout_ms);
 }
 
@@ -163,8 +163,7 @@
             return result;
         }
         if (i == 0)
-            m_targets.count_call(context.service,
-                                 chosen->limits.retry_percent);
+            m_targets.count_call(context.service, chosen->limits.retry_percent);
         else if (!m_targets.take_retry(context.service))
             return result;
         else
@@ -218,8 +217,8 @@
 {
     const auto now = steady_clock::now();
     const auto& peer = chosen.owner.peer;
-    auto stream = m_pool.take(
-        peer, std::min<duration>(connect_timeout, deadline - now));
+    auto stream =
+        m_pool.take(peer, std::min<duration>(connect_timeout, deadline - now));
     if (!stream)
     {
         m_report(chosen.owner.rpc);
@@ -241,16 +240,14 @@
     return result;
 }
 
-void entry_proxy::count(const call_context& context,
-                        const relay_result& result)
+void entry_proxy::count(const call_context& context, const relay_result& result)
 {
     const auto service = "service=\"" + context.service + "\"";
     if (result.status == 404)
         return m_board.metrics.get("tillerhall_unknown_service_total").add();
     m_board.metrics
-        .get("tillerhall_calls_total", service + ",outcome=\"" +
-                                           std::string(name_of(result.end)) +
-                                           "\"")
+        .get("tillerhall_calls_total",
+             service + ",outcome=\"" + std::string(name_of(result.end)) + "\"")
         .add();
     const std::chrono::duration<double, std::milli> took =
         steady_clock::now() - context.start;
--- a/src/node/journal.cpp
+++ b/src/node/journal.cpp
@@ -30,8 +30,7 @@
     std::vector<journal_entry> found;
     std::ranges::copy_if(m_entries, std::back_inserter(found),
                          [&](const journal_entry& each) {
-                             return subject.empty() ||
-                                    each.subject == subject;
+                             return subject.empty() || each.subject == subject;
                          });
     return found;
 }
--- a/src/node/membership_controller.cpp
+++ b/src/node/membership_controller.cpp
@@ -182,7 +182,7 @@
 void membership_controller::heard(const heartbeat_message& message,
                                   const address& peer)
 {
-    merge_all(message.news, "heartbeat");
+    merge_all(message.news, "heartbeat", spreading::by_rumor);
     m_freshness.heard(message.source_age_ms, steady_clock::now());
     auto& seen = m_versions_seen[peer];
     seen = std::max(seen, message.version);
@@ -217,16 +217,16 @@
 void membership_controller::sync_with(const address& peer)
 {
     m_mesh.board.metrics.get("tillerhall_member_syncs_total").add();
-    const auto answer = m_mesh.pool.call(
-        {peer, traffic_kind::membership, method::sync,
-         to_json(m_mesh.members.buckets()), join_timeout});
+    const auto answer =
+        m_mesh.pool.call({peer, traffic_kind::membership, method::sync,
+                          to_json(m_mesh.members.buckets()), join_timeout});
     if (!answer)
         return;
     try
     {
         const auto read = sync_answer_from_json(*answer);
         m_mesh.members.learn_names(read.services, read.places);
-        merge_all(read.members, "sync");
+        merge_all(read.members, "sync", spreading::none);
     }
     catch (const std::exception&)
     {
@@ -267,9 +267,9 @@
             break;
         if (peer == m_mesh.members.self().rpc)
             continue;
-        const auto answer = m_mesh.pool.call({peer, traffic_kind::membership,
-                                              method::join, params,
-                                              join_timeout});
+        const auto answer =
+            m_mesh.pool.call({peer, traffic_kind::membership, method::join,
+                              params, join_timeout});
         try
         {
             if (answer)
@@ -286,7 +286,7 @@
     for (const auto& [peer, answer] : answers)
     {
         m_mesh.members.learn_names(answer.services, answer.places);
-        merge_all(answer.members, "join");
+        merge_all(answer.members, "join", spreading::none);
         m_freshness.heard(answer.source_age_ms, steady_clock::now());
         m_tables.must_reach(std::max(answer.version, answer.floor));
     }
@@ -303,7 +303,7 @@
         return {{"e", name_of(read.reason().code())},
                 {"d", read.reason().detail()}};
     const auto joiner = read->rpc;
-    merge(*read, "join");
+    merge(*read, "join", spreading::by_rumor);
     join_answer answer;
     answer.members = m_mesh.members.all();
     answer.services = m_mesh.members.services();
@@ -333,15 +333,15 @@
 
 void membership_controller::broadcast(const announce_message& message)
 {
-    const auto parts =
-        split_range(message.range, m_mesh.members,
-                    static_cast<std::size_t>(m_mesh.config.fanout),
-                    m_mesh.random);
+    const auto parts = split_range(
+        message.range, m_mesh.members,
+        static_cast<std::size_t>(m_mesh.config.fanout), m_mesh.random);
     for (const auto& part : parts)
         m_mesh.on.spawn(
             [this, part, record = message.record]
             {
-                const auto params = to_json(announce_message{record, part.range});
+                const auto params =
+                    to_json(announce_message{record, part.range});
                 for (const auto& each : part.candidates)
                     if (m_mesh.pool.call({each, traffic_kind::membership,
                                           method::announce, params,
@@ -353,7 +353,7 @@
 json::object membership_controller::on_announce(const json::object& params)
 {
     const auto message = announce_from_json(params);
-    merge(message.record, "announcement");
+    merge(message.record, "announcement", spreading::none);
     broadcast(message);
     return {};
 }
@@ -367,13 +367,16 @@
 }
 
 void membership_controller::merge_all(const std::vector<member>& records,
-                                      const char* source)
+                                      const char* source,
+                                      spreading spread)
 {
     for (const auto& each : records)
-        merge(each, source);
+        merge(each, source, spread);
 }
 
-void membership_controller::merge(const member& record, const char* source)
+void membership_controller::merge(const member& record,
+                                  const char* source,
+                                  spreading spread)
 {
     m_mesh.members.set_now(steady_clock::now());
     const auto* known = m_mesh.members.find(record.rpc);
@@ -382,7 +385,10 @@
     const auto merged = m_mesh.members.merge(record);
     if (merged == merge_result::unchanged)
         return;
-    m_mesh.rumors.add(record.rpc);
+    // What a broadcast, a join or a sync told is known to most already; only
+    // what travels by heartbeats, and a refutation, needs to be passed on.
+    if (spread == spreading::by_rumor || merged == merge_result::refute)
+        m_mesh.rumors.add(record.rpc);
     m_tables.members_changed();
     m_mesh.board.metrics
         .get("tillerhall_member_changes_total",
--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -226,8 +226,7 @@
     for (const auto& each : members.at("c").as_array())
     {
         const auto& cells = each.as_array();
-        auto& counted =
-            read.domains[json::value_to<std::string>(cells.at(0))];
+        auto& counted = read.domains[json::value_to<std::string>(cells.at(0))];
         counted.at = json::value_to<std::uint64_t>(cells.at(1));
         counted.total = json::value_to<std::uint64_t>(cells.at(2));
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -160,7 +160,8 @@
 
     void compose()
     {
-        control = std::make_unique<control_plane>(config, board, first(), token);
+        control =
+            std::make_unique<control_plane>(config, board, first(), token);
         control->tables.add_methods();
         control->membership.add_methods();
         control->mesh.routes_changed = [this](const route_view& routes)
@@ -175,8 +176,7 @@
             std::make_unique<owner_proxy>(config, board, places, on.runs);
         on.entry = std::make_unique<entry_proxy>(
             config, board, targets, *on.owner, on.runs,
-            [this](const address& lost)
-            {
+            [this](const address& lost) {
                 first().spawn([this, lost]
                               { control->membership.connect_failed(lost); });
             });
@@ -218,7 +218,8 @@
     void planned_stop()
     {
         board.phase = node_phase::leaving;
-        board.decisions.note("leaving", config.advertise_rpc.text(), "planned stop",
+        board.decisions.note("leaving", config.advertise_rpc.text(),
+                             "planned stop",
                              {{"in_flight", board.calls_in_flight.load()}});
         control->membership.announce_self(member_state::leaving,
                                           target_state::draining);
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -160,10 +160,9 @@
 std::optional<std::uint64_t> version_param(const http_request& request)
 {
     const auto text = request.param("version", "0");
-    const bool digits =
-        !text.empty() && text.size() < 19 &&
-        std::ranges::all_of(text, [](unsigned char c)
-                            { return std::isdigit(c) != 0; });
+    const bool digits = !text.empty() && text.size() < 19 &&
+                        std::ranges::all_of(text, [](unsigned char c)
+                                            { return std::isdigit(c) != 0; });
     if (!digits)
         return std::nullopt;
     return std::stoull(text);
@@ -172,8 +171,7 @@
 error bad_version(const http_request& request)
 {
     return error(error_code::bad_syntax,
-                 "version \"" + request.param("version") +
-                     "\" is not a number",
+                 "version \"" + request.param("version") + "\" is not a number",
                  "give a number from `tiller history`");
 }
 
@@ -243,8 +241,8 @@
 
 http_response operator_api::health(const http_request&)
 {
-    return respond(200, json::object{{"phase",
-                                      name_of(m_mesh.board.phase.load())}});
+    return respond(200,
+                   json::object{{"phase", name_of(m_mesh.board.phase.load())}});
 }
 
 void operator_api::refresh_gauges()
@@ -384,8 +382,8 @@
     if (!outcome.problems.empty())
     {
         accept_outcome refused;
-        refused.refused = error(error_code::invalid_argument,
-                                "the draft cannot be read");
+        refused.refused =
+            error(error_code::invalid_argument, "the draft cannot be read");
         refused.problems = std::move(outcome.problems);
         return respond(refused);
     }
@@ -409,16 +407,15 @@
     for (const auto& [domain, counted] : report.domains)
         domains[domain] =
             json::object{{"at", counted.at}, {"total", counted.total}};
-    return respond(200,
-                   json::object{{"version", *version},
-                                {"in_force", in_force},
-                                {"at", report.at()},
-                                {"total", report.total()},
-                                {"live", live},
-                                {"greatest_seen", report.greatest_version},
-                                {"domains", std::move(domains)},
-                                {"laggards",
-                                 json::value_from(report.laggards)}});
+    return respond(
+        200, json::object{{"version", *version},
+                          {"in_force", in_force},
+                          {"at", report.at()},
+                          {"total", report.total()},
+                          {"live", live},
+                          {"greatest_seen", report.greatest_version},
+                          {"domains", std::move(domains)},
+                          {"laggards", json::value_from(report.laggards)}});
 }
 
 http_response operator_api::members(const http_request&)
--- a/src/node/owner_proxy.cpp
+++ b/src/node/owner_proxy.cpp
@@ -24,9 +24,8 @@
 std::string seconds_text(duration span)
 {
     const double seconds = std::chrono::duration<double>(span).count();
-    return std::to_string(
-        std::max<std::int64_t>(1, static_cast<std::int64_t>(
-                                      std::ceil(seconds))));
+    return std::to_string(std::max<std::int64_t>(
+        1, static_cast<std::int64_t>(std::ceil(seconds))));
 }
 
 } // namespace
@@ -71,8 +70,7 @@
 
 relay_result owner_proxy::refuse(std::string why) const
 {
-    m_board.metrics
-        .get("tillerhall_refused_total", "reason=\"" + why + "\"")
+    m_board.metrics.get("tillerhall_refused_total", "reason=\"" + why + "\"")
         .add();
     relay_result refused;
     refused.end = relay_end::not_run;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -19,7 +19,10 @@
 class settings_reader
 {
 public:
-    explicit settings_reader(std::string name) : m_name(std::move(name)) {}
+    explicit settings_reader(std::string name)
+        : m_name(std::move(name))
+    {
+    }
 
     settings_outcome read(const std::string& yaml)
     {
@@ -73,8 +76,8 @@
         const auto table = setting_table();
         const auto found = std::ranges::find(table, path, &setting::path);
         if (found == table.end())
-            return fail(mark, error_code::unknown_name,
-                        "unknown key " + path, "use " + nearest_to(path));
+            return fail(mark, error_code::unknown_name, "unknown key " + path,
+                        "use " + nearest_to(path));
         if (!m_seen.insert(found->path).second)
             return fail(mark, error_code::duplicate, path + " stands twice",
                         "keep one of the two");
@@ -105,13 +108,12 @@
         const auto parsed = std::from_chars(text.data(), end, number);
         const bool is_number = parsed.ec == std::errc() && parsed.ptr == end;
         if (!is_number || number < of.least || number > of.most)
-            return fail(mark,
-                        is_number ? error_code::out_of_range
-                                  : error_code::bad_syntax,
-                        std::string(of.path) + " \"" + text + "\" does not fit",
-                        "write a whole number from " +
-                            std::to_string(of.least) + " to " +
-                            std::to_string(of.most));
+            return fail(
+                mark,
+                is_number ? error_code::out_of_range : error_code::bad_syntax,
+                std::string(of.path) + " \"" + text + "\" does not fit",
+                "write a whole number from " + std::to_string(of.least) +
+                    " to " + std::to_string(of.most));
         m_outcome.read.*field = number;
     }
 
--- a/src/node/source_controller.cpp
+++ b/src/node/source_controller.cpp
@@ -58,10 +58,10 @@
         sleep_for(m_mesh.on.io(), waits.next(m_mesh.random));
     auto joining = node_phase::joining;
     m_mesh.board.phase.compare_exchange_strong(joining, node_phase::ready);
-    m_mesh.board.decisions.note(
-        "ready", m_mesh.members.self().rpc.text(), "has the newest table",
-        {{"version", m_tables.current()->version()},
-         {"members", m_mesh.members.live_count()}});
+    m_mesh.board.decisions.note("ready", m_mesh.members.self().rpc.text(),
+                                "has the newest table",
+                                {{"version", m_tables.current()->version()},
+                                 {"members", m_mesh.members.live_count()}});
     read_loop();
 }
 
@@ -161,9 +161,9 @@
         const auto poll = m_mesh.config.poll_ms;
         const auto jitter =
             m_mesh.random.below(static_cast<std::uint64_t>(poll / 5 + 1));
-        sleep_for(m_mesh.on.io(),
-                  milliseconds(poll - poll / 10 +
-                               static_cast<std::int64_t>(jitter)));
+        sleep_for(
+            m_mesh.on.io(),
+            milliseconds(poll - poll / 10 + static_cast<std::int64_t>(jitter)));
         const bool reads = should_read();
         if (reads != m_reading)
             m_mesh.board.decisions.note(reads ? "became_reader"
--- a/src/node/target_controller.cpp
+++ b/src/node/target_controller.cpp
@@ -46,15 +46,14 @@
                 {{"before", name_of(before.target_is)}});
             m_membership.announce_self(m_mesh.members.self().state, found);
         }
-        sleep_for(m_mesh.on.io(),
-                  milliseconds(m_mesh.config.target_health_ms));
+        sleep_for(m_mesh.on.io(), milliseconds(m_mesh.config.target_health_ms));
     }
 }
 
 target_state target_controller::check_once()
 {
-    const auto response = m_client.call(
-        "GET", m_mesh.config.target_health_path, "", check_timeout);
+    const auto response = m_client.call("GET", m_mesh.config.target_health_path,
+                                        "", check_timeout);
     const bool healthy = response && response->status < 300;
     m_failures_in_row = healthy ? 0 : m_failures_in_row + 1;
     if (healthy)
--- a/src/observe/latency_histogram.cpp
+++ b/src/observe/latency_histogram.cpp
@@ -28,14 +28,18 @@
     double sum = 0;
     std::uint64_t count = 0;
 
-    /** @return the count of the bucket at @p index, -1 and `buckets` included. */
+    /** @return the count of the bucket at @p index, -1 and `buckets` included.
+     */
     std::uint64_t at(int index) const
     {
         return static_cast<std::uint64_t>(values.at(index));
     }
 };
 
-latency_histogram::latency_histogram() : m_state(std::make_unique<state>()) {}
+latency_histogram::latency_histogram()
+    : m_state(std::make_unique<state>())
+{
+}
 latency_histogram::~latency_histogram() = default;
 
 void latency_histogram::record(double ms)
@@ -60,15 +64,22 @@
     return m_state->count == 0 ? 0 : most_ms;
 }
 
-std::uint64_t latency_histogram::count_above(double ms) const
+double latency_histogram::count_above(double ms) const
 {
     const std::lock_guard lock(m_mutex);
-    std::uint64_t above = 0;
     const auto& axis = m_state->values.axis();
-    for (int i = axis.index(std::max(ms, least_ms)) + 1;
-         i <= static_cast<int>(buckets); ++i)
-        above += m_state->at(i);
-    return above;
+    const int bucket = axis.index(std::max(ms, least_ms));
+    double above = 0;
+    for (int i = bucket + 1; i <= static_cast<int>(buckets); ++i)
+        above += static_cast<double>(m_state->at(i));
+    if (bucket >= static_cast<int>(buckets))
+        return above;
+    // Within the bucket that holds the bound, values are taken as spread
+    // evenly.
+    const double lower = axis.bin(bucket).lower();
+    const double upper = axis.bin(bucket).upper();
+    const double share = (upper - std::max(ms, least_ms)) / (upper - lower);
+    return above + share * static_cast<double>(m_state->at(bucket));
 }
 
 std::uint64_t latency_histogram::count() const
@@ -89,13 +100,14 @@
         seen += here;
         if (here == 0)
             continue; // only buckets that grew, to keep the page short
-        const auto bound = std::to_string(m_state->values.axis().bin(i).upper());
+        const auto bound =
+            std::to_string(m_state->values.axis().bin(i).upper());
         into += name + "_bucket{" + joined(labels, "le=\"" + bound + "\"") +
                 "} " + std::to_string(seen) + "\n";
     }
     const auto count = std::to_string(m_state->count);
-    into += name + "_bucket{" + joined(labels, "le=\"+Inf\"") + "} " + count +
-            "\n";
+    into +=
+        name + "_bucket{" + joined(labels, "le=\"+Inf\"") + "} " + count + "\n";
     const auto braces = labels.empty() ? "" : "{" + labels + "}";
     into += name + "_sum" + braces + " " + std::to_string(m_state->sum) + "\n";
     into += name + "_count" + braces + " " + count + "\n";
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -80,8 +80,8 @@
 result<std::optional<table_item>>
 http_table_service::get(const std::string& key)
 {
-    const auto response = m_connection.call(
-        "GET", "/tables/v1/item?key=" + percent_encode(key));
+    const auto response =
+        m_connection.call("GET", "/tables/v1/item?key=" + percent_encode(key));
     if (!response)
         return unavailable("table service read of " + key, response.reason());
     if (response->status == missing)
@@ -102,19 +102,17 @@
         return unavailable("table service list", response.reason());
     if (response->status != ok)
         return unexpected("table service list", *response);
-    return parse_body(
-        *response,
-        [](const json::object& body)
-        {
-            std::vector<table_item> items;
-            for (const auto& each : body.at("items").as_array())
-                items.push_back(item_from(each));
-            return items;
-        });
+    return parse_body(*response,
+                      [](const json::object& body)
+                      {
+                          std::vector<table_item> items;
+                          for (const auto& each : body.at("items").as_array())
+                              items.push_back(item_from(each));
+                          return items;
+                      });
 }
 
-result<bool>
-http_table_service::transact(const table_transaction& transaction)
+result<bool> http_table_service::transact(const table_transaction& transaction)
 {
     const auto response = m_connection.call(
         "POST", "/tables/v1/transact", json::serialize(to_json(transaction)));
--- a/src/platform/table_store.cpp
+++ b/src/platform/table_store.cpp
@@ -35,14 +35,13 @@
 
 std::string to_text(const version_record& record)
 {
-    return json::serialize(
-        json::object{{"version", record.version},
-                     {"digest", record.digest},
-                     {"parent_digest", record.parent_digest},
-                     {"accept_id", record.accept_id},
-                     {"author", record.author},
-                     {"accepted_us", record.accepted_us},
-                     {"changes", to_json(record.changes)}});
+    return json::serialize(json::object{{"version", record.version},
+                                        {"digest", record.digest},
+                                        {"parent_digest", record.parent_digest},
+                                        {"accept_id", record.accept_id},
+                                        {"author", record.author},
+                                        {"accepted_us", record.accepted_us},
+                                        {"changes", to_json(record.changes)}});
 }
 
 result<version_record> record_from(const table_item& item)
@@ -54,8 +53,7 @@
         const auto text = [&](const char* name)
         { return json::value_to<std::string>(members.at(name)); };
         version_record record;
-        record.version =
-            json::value_to<std::uint64_t>(members.at("version"));
+        record.version = json::value_to<std::uint64_t>(members.at("version"));
         record.digest = text("digest");
         record.parent_digest = text("parent_digest");
         record.accept_id = text("accept_id");
@@ -109,8 +107,7 @@
     return record_from(**item);
 }
 
-result<std::vector<version_record>>
-table_store::read_history(std::size_t limit)
+result<std::vector<version_record>> table_store::read_history(std::size_t limit)
 {
     const auto items = m_tables.list_last(version_prefix, limit);
     if (!items)
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -30,7 +30,8 @@
 }
 
 admission::admission(admission_limits limits)
-    : m_limits(limits), m_rate(bucket_for(limits.rate_per_s))
+    : m_limits(limits)
+    , m_rate(bucket_for(limits.rate_per_s))
 {
 }
 
@@ -112,8 +113,8 @@
 
 admission_waiter* admission::next_waiter(time_point)
 {
-    std::erase_if(m_queues, [](const auto& each)
-                  { return each.second.empty(); });
+    std::erase_if(m_queues,
+                  [](const auto& each) { return each.second.empty(); });
     if (m_queues.empty())
         return nullptr;
     // The services in turn: the first one after the one served last.
--- a/src/routing/route_view.cpp
+++ b/src/routing/route_view.cpp
@@ -22,8 +22,7 @@
     }
 }
 
-const service_route*
-route_view::find(const std::string& service) const noexcept
+const service_route* route_view::find(const std::string& service) const noexcept
 {
     const auto found = m_routes.find(service);
     return found == m_routes.end() ? nullptr : &found->second;
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -35,9 +35,8 @@
 
 } // namespace
 
-const place_route*
-target_board::choose_place(const service_route& route,
-                           const std::vector<address>& avoid)
+const place_route* target_board::choose_place(const service_route& route,
+                                              const std::vector<address>& avoid)
 {
     std::int64_t total = 0;
     for (const auto& each : route.places)
@@ -139,8 +138,7 @@
     if (verdict == call_verdict::failed)
         of.failures = std::max(of.failures, aside_share);
     if (verdict == call_verdict::good)
-        of.latency_ms +=
-            (seconds(took) * 1000 - of.latency_ms) * newest_share;
+        of.latency_ms += (seconds(took) * 1000 - of.latency_ms) * newest_share;
     if (load)
         of.load = *load;
     else if (verdict == call_verdict::refused)
--- a/src/rpc/client_pool.cpp
+++ b/src/rpc/client_pool.cpp
@@ -13,8 +13,8 @@
     const auto code = reply.status == rpc_status::transport_failed
                           ? error_code::connection_lost
                           : error_code::protocol_error;
-    return error(code, made.method + " to " + made.peer.text() + ": " +
-                           reply.text);
+    return error(code,
+                 made.method + " to " + made.peer.text() + ": " + reply.text);
 }
 
 /** @return the answer, or the refusal that the peer put into it. */
@@ -32,7 +32,8 @@
     if (refused == nullptr || !refused->is_string())
         return std::move(answer);
     std::string detail;
-    if (const auto* given = answer.if_contains("d"); given && given->is_string())
+    if (const auto* given = answer.if_contains("d");
+        given && given->is_string())
         detail = given->as_string().c_str();
     return error(error_code_named(refused->as_string()), detail);
 }
--- a/src/rpc/codec/client_codec.cpp
+++ b/src/rpc/codec/client_codec.cpp
@@ -65,7 +65,8 @@
 struct rpc_client_codec::state
 {
     explicit state(exchange transport)
-        : carrier(std::move(transport)), client(carrier)
+        : carrier(std::move(transport))
+        , client(carrier)
     {
     }
 
--- a/src/rpc/codec/server_codec.cpp
+++ b/src/rpc/codec/server_codec.cpp
@@ -41,7 +41,8 @@
     dispatcher(frame_connector& carrier,
                const std::vector<std::string>& names,
                rpc_server_codec::handler dispatch)
-        : AbstractServer(carrier), m_dispatch(std::move(dispatch))
+        : AbstractServer(carrier)
+        , m_dispatch(std::move(dispatch))
     {
         for (const auto& method : names)
             bindAndAddMethod(jsonrpc::Procedure(method, jsonrpc::PARAMS_BY_NAME,
--- a/src/table/column.cpp
+++ b/src/table/column.cpp
@@ -24,8 +24,8 @@
            "calls/s", "calls a second one target takes; 0 is no limit"},
     column{"timeout_ms", cell_kind::number, &row::timeout_ms, 1, hour_ms, "ms",
            "longest time for one call"},
-    column{"retry_percent", cell_kind::number, &row::retry_percent, 0, 100,
-           "%", "retries allowed per hundred calls"},
+    column{"retry_percent", cell_kind::number, &row::retry_percent, 0, 100, "%",
+           "retries allowed per hundred calls"},
     column{"repeatable", cell_kind::yes_no, &row::repeatable, 0, 1, "yes/no",
            "whether any method of the service may be repeated"},
 };
--- a/src/table/config_table.cpp
+++ b/src/table/config_table.cpp
@@ -7,7 +7,8 @@
 namespace tillerhall
 {
 
-config_table::config_table(std::vector<row> rows) : m_rows(std::move(rows))
+config_table::config_table(std::vector<row> rows)
+    : m_rows(std::move(rows))
 {
     std::ranges::stable_sort(m_rows, {}, &row::key);
     const auto repeated = std::ranges::unique(m_rows, {}, &row::key);
--- a/src/table/csv.cpp
+++ b/src/table/csv.cpp
@@ -27,7 +27,8 @@
 {
 public:
     splitter(std::string_view text, char delimiter)
-        : m_text(text), m_delimiter(delimiter)
+        : m_text(text)
+        , m_delimiter(delimiter)
     {
     }
 
@@ -59,8 +60,8 @@
     {
         if (m_at < m_text.size() && m_text[m_at] == '"')
             return quoted_cell();
-        const auto stop = m_text.find_first_of(
-            std::string{m_delimiter, '\r', '\n'}, m_at);
+        const auto stop =
+            m_text.find_first_of(std::string{m_delimiter, '\r', '\n'}, m_at);
         const auto end = std::min(stop, m_text.size());
         std::string cell(m_text.substr(m_at, end - m_at));
         m_at = end;
@@ -200,8 +201,9 @@
         for (const auto& name : m_header)
         {
             if (!seen.insert(name).second)
-                fail(read.number, error(error_code::duplicate,
-                                        "column \"" + name + "\" stands twice"));
+                fail(read.number,
+                     error(error_code::duplicate,
+                           "column \"" + name + "\" stands twice"));
             if (name == "service" || name == "place")
                 continue;
             const auto found = find_column(name);
@@ -231,10 +233,10 @@
         for (std::size_t i = 0; i < cells.size(); ++i)
             take_cell(read.number, built, m_header[i], cells[i]);
         if (!m_keys.insert(built.key).second)
-            return fail(read.number, error(error_code::duplicate,
-                                           "row " + built.key.service + " at " +
-                                               built.key.place +
-                                               " stands twice"));
+            return fail(read.number,
+                        error(error_code::duplicate,
+                              "row " + built.key.service + " at " +
+                                  built.key.place + " stands twice"));
         m_rows.push_back(std::move(built));
     }
 
@@ -244,20 +246,19 @@
                    const std::string& text)
     {
         if (name == "service" || name == "place")
-            return take_name(number,
-                             name == "place" ? built.key.place
-                                             : built.key.service,
-                             name, text);
+            return take_name(
+                number, name == "place" ? built.key.place : built.key.service,
+                name, text);
         const auto found = find_column(name);
         if (!found || text.empty())
             return; // reported with the header, or the default applies
         const auto set = set_cell(built, **found, text);
         if (!set)
-            fail(number, error(set.reason().code(),
-                               "row " + built.key.service + " at " +
-                                   built.key.place + ", " +
-                                   set.reason().detail(),
-                               set.reason().remedy()));
+            fail(number,
+                 error(set.reason().code(),
+                       "row " + built.key.service + " at " + built.key.place +
+                           ", " + set.reason().detail(),
+                       set.reason().remedy()));
     }
 
     void take_name(std::size_t number,
--- a/src/table/merge.cpp
+++ b/src/table/merge.cpp
@@ -70,12 +70,11 @@
         if (same(in_mine, in_base) || same(in_mine, in_theirs))
             continue;
         if (in_base != nullptr && in_mine != nullptr && in_theirs != nullptr)
-            outcome.merged.put(merge_cells(*in_base, *in_mine, *in_theirs,
-                                           outcome.conflicts));
+            outcome.merged.put(
+                merge_cells(*in_base, *in_mine, *in_theirs, outcome.conflicts));
         else if (!same(in_theirs, in_base))
             outcome.conflicts.push_back({key, "row", text_of(in_base),
-                                         text_of(in_mine),
-                                         text_of(in_theirs)});
+                                         text_of(in_mine), text_of(in_theirs)});
         else if (in_mine == nullptr)
             outcome.merged.remove(key);
         else
--- a/standins/faultproxy.cpp
+++ b/standins/faultproxy.cpp
@@ -34,11 +34,11 @@
 {
     std::string from;
     std::string to;
-    bool cut = false;           ///< connections fail and break
-    bool lose_requests = false; ///< bytes forth vanish
-    bool lose_answers = false;  ///< bytes back vanish
-    std::int64_t delay_ms = 0;  ///< each piece, in both directions
-    std::int64_t jitter_ms = 0; ///< at most so much more, by connection
+    bool cut = false;             ///< connections fail and break
+    bool lose_requests = false;   ///< bytes forth vanish
+    bool lose_answers = false;    ///< bytes back vanish
+    std::int64_t delay_ms = 0;    ///< each piece, in both directions
+    std::int64_t jitter_ms = 0;   ///< at most so much more, by connection
     bool reset_on_answer = false; ///< broken when the answer begins
 };
 
@@ -56,7 +56,10 @@
 class fault_proxy
 {
 public:
-    explicit fault_proxy(worker& on) : m_worker(on) {}
+    explicit fault_proxy(worker& on)
+        : m_worker(on)
+    {
+    }
 
     http_response answer(const http_request& request)
     {
@@ -70,7 +73,8 @@
         }
         catch (const std::exception& failed)
         {
-            return {400, json::serialize(json::object{{"error", failed.what()}})};
+            return {400,
+                    json::serialize(json::object{{"error", failed.what()}})};
         }
         return {404, "{}"};
     }
@@ -116,12 +120,11 @@
         for (const auto& each : body.at("rules").as_array())
         {
             const auto& rule = each.as_object();
-            m_rules.push_back({text(rule, "from"), text(rule, "to"),
-                               flag(rule, "cut"), flag(rule, "lose_requests"),
-                               flag(rule, "lose_answers"),
-                               number(rule, "delay_ms"),
-                               number(rule, "jitter_ms"),
-                               flag(rule, "reset_on_answer")});
+            m_rules.push_back(
+                {text(rule, "from"), text(rule, "to"), flag(rule, "cut"),
+                 flag(rule, "lose_requests"), flag(rule, "lose_answers"),
+                 number(rule, "delay_ms"), number(rule, "jitter_ms"),
+                 flag(rule, "reset_on_answer")});
         }
         for (const auto& each : m_links)
             if (const auto* rule = rule_for(each.from, each.to);
@@ -160,12 +163,11 @@
         const auto jitter =
             rule == nullptr || rule->jitter_ms == 0
                 ? 0
-                : static_cast<std::int64_t>(
-                      m_random.below(static_cast<std::uint64_t>(
-                          rule->jitter_ms)));
-        m_links.push_back(
-            {std::make_shared<tcp_stream>(std::move(stream)),
-             std::shared_ptr<tcp_stream>(std::move(*far)), from, to.ip, jitter});
+                : static_cast<std::int64_t>(m_random.below(
+                      static_cast<std::uint64_t>(rule->jitter_ms)));
+        m_links.push_back({std::make_shared<tcp_stream>(std::move(stream)),
+                           std::shared_ptr<tcp_stream>(std::move(*far)), from,
+                           to.ip, jitter});
         const auto link = std::prev(m_links.end());
         run_parallel({[&] { pump(*link, true); }, [&] { pump(*link, false); }});
         m_links.erase(link);
@@ -180,8 +182,8 @@
         while (!failed)
         {
             source.expires_after(no_timeout);
-            const auto size = source.async_read_some(
-                boost::asio::buffer(piece), await{failed});
+            const auto size = source.async_read_some(boost::asio::buffer(piece),
+                                                     await{failed});
             if (failed)
                 break;
             const auto* rule = rule_for(link.from, link.to);
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -36,7 +36,8 @@
         [&](tcp_stream& stream)
         {
             serve_api(
-                stream, [&](const http_request& request)
+                stream,
+                [&](const http_request& request)
                 { return state.answer(request); },
                 limits);
         });
--- a/standins/platform/platform_state.cpp
+++ b/standins/platform/platform_state.cpp
@@ -106,8 +106,8 @@
     const auto found = m_items.find(key);
     if (found == m_items.end())
         return respond(404, json::object{{"error", "no such item"}});
-    return respond(200, item_to_json(key, found->second.value,
-                                     found->second.revision));
+    return respond(
+        200, item_to_json(key, found->second.value, found->second.revision));
 }
 
 http_response platform_state::list_items(const std::string& prefix,
@@ -129,8 +129,7 @@
         const auto key = json::value_to<std::string>(each.at("key"));
         const auto wanted = json::value_to<std::uint64_t>(each.at("revision"));
         const auto found = m_items.find(key);
-        return wanted ==
-               (found == m_items.end() ? 0 : found->second.revision);
+        return wanted == (found == m_items.end() ? 0 : found->second.revision);
     };
     return std::ranges::all_of(body.at("conditions").as_array(), holds);
 }
@@ -183,8 +182,7 @@
 
 http_response platform_state::get_hosts()
 {
-    const auto shown =
-        steady_clock::now() - milliseconds(m_faults.host_lag_ms);
+    const auto shown = steady_clock::now() - milliseconds(m_faults.host_lag_ms);
     http_response response;
     response.body = R"({"hosts":[]})";
     for (const auto& each : m_hosts)
--- a/standins/platform/platform_state.hpp
+++ b/standins/platform/platform_state.hpp
@@ -39,7 +39,10 @@
     /** Waits in the calling fiber. */
     using sleeper = std::function<void(duration)>;
 
-    explicit platform_state(sleeper sleep) : m_sleep(std::move(sleep)) {}
+    explicit platform_state(sleeper sleep)
+        : m_sleep(std::move(sleep))
+    {
+    }
 
     http_response answer(const http_request& request);
 
--- a/standins/target/main.cpp
+++ b/standins/target/main.cpp
@@ -52,9 +52,9 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("standin-target", "Stand-in for a target.");
-    options.add_options()("listen", "address",
-                          cxxopts::value<std::string>()->default_value(
-                              "127.0.0.1:0"))(
+    options.add_options()(
+        "listen", "address",
+        cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
         "behave", "JSON object of behaviour, as for POST /admin/behave",
         cxxopts::value<std::string>()->default_value("{}"))("h,help",
                                                             "show this");
--- a/standins/target/target_state.cpp
+++ b/standins/target/target_state.cpp
@@ -104,7 +104,9 @@
 } // namespace
 
 target_state_standin::target_state_standin(worker& on, std::string name)
-    : m_worker(on), m_name(std::move(name)), m_start(steady_clock::now())
+    : m_worker(on)
+    , m_name(std::move(name))
+    , m_start(steady_clock::now())
 {
     m_worker.spawn([this] { sample(); });
 }
@@ -114,8 +116,8 @@
     constexpr std::size_t most_samples = 3000;
     while (true)
     {
-        m_samples.push_back({steady_clock::now(), m_behaviour.drain != 0,
-                             m_counts.running});
+        m_samples.push_back(
+            {steady_clock::now(), m_behaviour.drain != 0, m_counts.running});
         if (m_samples.size() > most_samples)
             m_samples.pop_front();
         sleep_for(m_worker.io(), sample_every);
@@ -277,15 +279,15 @@
     }
 }
 
-bool target_state_standin::wait_for_service(inbound_call& call,
-                                            std::int64_t ms)
+bool target_state_standin::wait_for_service(inbound_call& call, std::int64_t ms)
 {
     constexpr std::int64_t check_ms = 10;
     const auto until = steady_clock::now() + milliseconds(ms);
     while (m_behaviour.hang != 0 || steady_clock::now() < until)
     {
         const auto left = until - steady_clock::now();
-        const bool last = m_behaviour.hang == 0 && left < milliseconds(check_ms);
+        const bool last =
+            m_behaviour.hang == 0 && left < milliseconds(check_ms);
         sleep_for(m_worker.io(), last ? left : milliseconds(check_ms));
         // Cancellation: the node closes the connection of a call given up.
         if (!last && !is_reusable(call.stream()))
--- /dev/null
+++ b/tests/support/system.hpp
@@ -0,0 +1,67 @@
+/** @file Runs a test body on a fiber, and short cuts for whole systems. */
+#pragma once
+
+#include "harness/caller.hpp"
+#include "harness/cluster.hpp"
+
+#include "tillerhall/table/csv.hpp"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+
+namespace tillerhall::harness
+{
+
+/** Runs @p body as a fiber of a worker on this thread. */
+inline void on_worker(const std::function<void(worker&)>& body)
+{
+    run_main_fiber(
+        [&](worker& on)
+        {
+            body(on);
+            return 0;
+        });
+}
+
+/** A started system at version 1 with its default table. */
+class started_cluster : public cluster
+{
+public:
+    started_cluster(worker& on, const cluster_options& options)
+        : cluster(on, options)
+    {
+        const auto started = start();
+        INFO((started ? "" : started.reason().message()));
+        REQUIRE(started);
+        m_csv = default_table();
+        const auto accepted = accept(0, m_csv, 0, "first");
+        REQUIRE(accepted);
+        INFO(boost::json::serialize(*accepted));
+        REQUIRE(accepted->contains("version"));
+        REQUIRE(wait_for_version(1));
+    }
+
+    const std::string& csv() const { return m_csv; }
+
+private:
+    std::string m_csv;
+};
+
+/** @return @p csv with the first row's weight set. */
+inline std::string
+with_weight(const std::string& csv, int weight, std::size_t row_index = 0)
+{
+    auto table = read_csv(csv).parsed.table;
+    auto changed = table.rows()[row_index];
+    changed.weight = weight;
+    table.put(changed);
+    return write_csv(table);
+}
+
+inline std::int64_t number(const boost::json::object& body, const char* name)
+{
+    return body.at(name).to_number<std::int64_t>();
+}
+
+} // namespace tillerhall::harness
--- /dev/null
+++ b/tests/unit/limits.cpp
@@ -0,0 +1,211 @@
+#include "generators.hpp"
+#include "tillerhall/core/backoff.hpp"
+#include "tillerhall/core/token_bucket.hpp"
+#include "tillerhall/distribution/circuit_breaker.hpp"
+#include "tillerhall/distribution/source_freshness.hpp"
+#include "tillerhall/routing/admission.hpp"
+#include "tillerhall/routing/retry_budget.hpp"
+
+#include <list>
+
+using namespace tillerhall;
+using std::chrono::seconds;
+
+TEST_CASE("a token bucket never gives more than its rate and burst")
+{
+    rc::prop("bounded",
+             [](const std::vector<unsigned char>& gaps_ms)
+             {
+                 token_bucket bucket(100, 5);
+                 time_point now{};
+                 const auto start = now;
+                 double taken = 0;
+                 for (const auto gap : gaps_ms)
+                 {
+                     now += milliseconds(gap);
+                     taken += bucket.take(now) ? 1 : 0;
+                     const std::chrono::duration<double> passed = now - start;
+                     RC_ASSERT(taken <= 5 + 100 * passed.count() + 1e-6);
+                 }
+             });
+}
+
+TEST_CASE("backoff stays between its least and most wait")
+{
+    random_source random(1);
+    backoff waits(milliseconds(10), milliseconds(200));
+    for (int i = 0; i < 200; ++i)
+    {
+        const auto wait = waits.next(random);
+        CHECK(wait >= milliseconds(10));
+        CHECK(wait <= milliseconds(200));
+    }
+}
+
+TEST_CASE("a circuit breaker opens after failures in a row and closes again")
+{
+    random_source random(1);
+    circuit_breaker breaker;
+    const time_point start = steady_clock::now();
+    CHECK_FALSE(breaker.failed(start, random));
+    CHECK_FALSE(breaker.failed(start, random));
+    CHECK(breaker.allows(start));
+    CHECK(breaker.failed(start, random));
+    CHECK_FALSE(breaker.allows(start));
+    CHECK(breaker.allows(start + seconds(16)));
+    CHECK(breaker.succeeded());
+    CHECK(breaker.allows(start));
+}
+
+TEST_CASE("the freshest known read of the source counts")
+{
+    source_freshness freshness;
+    const auto now = steady_clock::now();
+    CHECK(freshness.age_ms(now) == -1);
+    freshness.heard(-1, now);
+    CHECK(freshness.age_ms(now) == -1);
+    freshness.heard(500, now);
+    freshness.heard(900, now);
+    CHECK(freshness.age_ms(now) == 500);
+    freshness.note_read(now);
+    CHECK(freshness.age_ms(now + seconds(1)) == 1000);
+}
+
+TEST_CASE("retries never exceed their share of calls")
+{
+    rc::prop("budget",
+             [](const std::vector<bool>& wants)
+             {
+                 retry_budget budget;
+                 double retries = 0;
+                 for (std::size_t i = 0; i < wants.size(); ++i)
+                 {
+                     budget.call(10);
+                     if (wants[i])
+                         retries += budget.take() ? 1 : 0;
+                     const auto calls = static_cast<double>(i + 1);
+                     RC_ASSERT(retries <=
+                               calls * 0.1 + retry_budget::most_saved);
+                 }
+             });
+}
+
+namespace
+{
+
+/** Drives an admission with random arrivals and departures. */
+void drive(const std::vector<std::pair<bool, int>>& steps,
+           std::int64_t slots,
+           std::int64_t queue)
+{
+    admission places({slots, queue, milliseconds(100), 0});
+    std::list<admission_waiter> waiting;
+    time_point now = steady_clock::now();
+    std::int64_t running = 0;
+    std::int64_t woken = 0;
+    for (const auto& [arrives, caller] : steps)
+    {
+        now += milliseconds(1);
+        if (arrives)
+        {
+            const auto verdict = places.arrive(now, now + seconds(10));
+            if (verdict == admission_verdict::run)
+                ++running;
+            if (verdict == admission_verdict::wait)
+            {
+                auto& waiter = waiting.emplace_back();
+                waiter.caller = "c" + std::to_string(caller % 3);
+                waiter.deadline = now + seconds(10);
+                waiter.wake = [&] { ++woken; };
+                places.enqueue(waiter);
+            }
+        }
+        else if (running > 0)
+        {
+            woken = 0;
+            places.leave(now, milliseconds(1));
+            running += woken - 1;
+            waiting.remove_if([](const admission_waiter& each)
+                              { return each.granted; });
+        }
+        RC_ASSERT(places.in_flight() == running);
+        RC_ASSERT(running <= slots);
+        RC_ASSERT(places.waiting() <= queue);
+        // No slot stays free while a call waits.
+        RC_ASSERT(running == slots || places.waiting() == 0);
+    }
+}
+
+} // namespace
+
+TEST_CASE("slots and queue are never exceeded and no slot idles")
+{
+    rc::prop("admission", [](const std::vector<std::pair<bool, int>>& steps)
+             { drive(steps, 2, 3); });
+}
+
+TEST_CASE("callers' services share a full target in turn")
+{
+    admission places({1, 100, seconds(10), 0});
+    const auto now = steady_clock::now();
+    CHECK(places.arrive(now, now + seconds(9)) == admission_verdict::run);
+    std::list<admission_waiter> waiting;
+    std::vector<std::string> served;
+    const auto wait_as = [&](const std::string& caller)
+    {
+        auto& waiter = waiting.emplace_back();
+        waiter.caller = caller;
+        waiter.deadline = now + seconds(9);
+        waiter.wake = [&served, caller] { served.push_back(caller); };
+        places.enqueue(waiter);
+    };
+    for (int i = 0; i < 10; ++i)
+        wait_as("greedy");
+    wait_as("modest");
+    for (int i = 0; i < 4; ++i)
+        places.leave(now, milliseconds(1));
+    CHECK(std::ranges::count(served, "modest") == 1);
+    waiting.clear();
+}
+
+TEST_CASE("a call that cannot finish in time is refused, not run in vain")
+{
+    admission places({1, 10, seconds(1), 0});
+    const auto now = steady_clock::now();
+    for (int i = 0; i < 200; ++i)
+    {
+        places.arrive(now, now + seconds(9));
+        places.leave(now, milliseconds(100));
+    }
+    CHECK(places.arrive(now, now + milliseconds(20)) ==
+          admission_verdict::deadline_too_near);
+    CHECK(places.arrive(now, now + milliseconds(500)) ==
+          admission_verdict::run);
+}
+
+TEST_CASE("new limits cut nothing that runs")
+{
+    admission places({4, 0, seconds(1), 0});
+    const auto now = steady_clock::now();
+    for (int i = 0; i < 4; ++i)
+        CHECK(places.arrive(now, now + seconds(9)) == admission_verdict::run);
+    places.set_limits({1, 0, seconds(1), 0});
+    CHECK(places.in_flight() == 4);
+    for (int i = 0; i < 3; ++i)
+        places.leave(now, milliseconds(1));
+    CHECK(places.arrive(now, now + seconds(9)) ==
+          admission_verdict::queue_full);
+    places.leave(now, milliseconds(1));
+    CHECK(places.arrive(now, now + seconds(9)) == admission_verdict::run);
+}
+
+TEST_CASE("a rate above the limit is refused")
+{
+    admission places({100, 0, seconds(1), 10});
+    const auto now = steady_clock::now();
+    CHECK(places.arrive(now, now + seconds(9)) == admission_verdict::run);
+    CHECK(places.arrive(now, now + seconds(9)) ==
+          admission_verdict::rate_exceeded);
+    CHECK(places.arrive(now + milliseconds(150), now + seconds(9)) ==
+          admission_verdict::run);
+}
--- /dev/null
+++ b/tests/unit/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/unit/membership.cpp
@@ -0,0 +1,220 @@
+#include "generators.hpp"
+#include "tillerhall/distribution/reader_choice.hpp"
+#include "tillerhall/membership/heartbeat_schedule.hpp"
+#include "tillerhall/membership/rumor_queue.hpp"
+#include "tillerhall/membership/suspicion.hpp"
+
+#include <boost/json.hpp>
+#include <set>
+
+using namespace tillerhall;
+
+namespace
+{
+
+member make_member(std::uint16_t port, const std::string& domain = "d")
+{
+    member made;
+    made.rpc = {"127.0.0.1", port};
+    made.peer = made.caller = made.operators = made.target = made.rpc;
+    made.place = {"r", domain};
+    made.service = "s";
+    made.incarnation = 1;
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("member lists agree whatever order the records came in")
+{
+    rc::prop("order and repeats do not matter",
+             [](std::vector<member> records, std::uint64_t seed)
+             {
+                 const auto self = make_member(100);
+                 member_list first(self);
+                 member_list second(self);
+                 // Dead records of unknown nodes are not taken, so every node
+                 // is known alive first.
+                 for (auto each : records)
+                 {
+                     each.state = member_state::alive;
+                     each.incarnation = 0;
+                     first.merge(each);
+                     second.merge(each);
+                 }
+                 for (const auto& each : records)
+                     first.merge(each);
+                 random_source random(seed);
+                 std::ranges::shuffle(records, random);
+                 for (const auto& each : records)
+                 {
+                     second.merge(each);
+                     second.merge(each);
+                 }
+                 RC_ASSERT(first.all() == second.all());
+                 RC_ASSERT(first.digest() == second.digest());
+             });
+}
+
+TEST_CASE("a record survives the wire, and a bad one is refused")
+{
+    rc::prop("round trip",
+             [](const member& sent)
+             {
+                 const auto read = member_from_json(
+                     boost::json::parse(boost::json::serialize(to_json(sent))));
+                 RC_ASSERT(read.has_value());
+                 RC_ASSERT(*read == sent);
+             });
+    for (const auto* bad :
+         {"1", "[]", R"(["x",1,1,1,"","","","",0,0,1])",
+          R"(["1.1.1.1:1",1,1,1,"","","","1.1.1.1:1",9,0,1])"})
+        CHECK_FALSE(member_from_json(boost::json::parse(bad)));
+}
+
+TEST_CASE("a node called dead refutes, and its refutation wins everywhere")
+{
+    member_list own(make_member(1));
+    member_list other(make_member(2));
+    other.merge(own.self());
+    other.accuse(own.self().rpc, member_state::dead);
+    REQUIRE(other.find(own.self().rpc)->state == member_state::dead);
+    CHECK(own.merge(*other.find(own.self().rpc)) == merge_result::refute);
+    CHECK(own.self().state == member_state::alive);
+    CHECK(other.merge(own.self()) == merge_result::changed);
+    CHECK(other.find(own.self().rpc)->state == member_state::alive);
+}
+
+TEST_CASE("a new process at an address supersedes the old one")
+{
+    member_list list(make_member(1));
+    auto old_process = make_member(2);
+    old_process.incarnation = 10;
+    list.merge(old_process);
+    auto newer = old_process;
+    newer.incarnation = 20;
+    newer.service = "other";
+    CHECK(list.merge(newer) == merge_result::changed);
+    CHECK(list.merge(old_process) == merge_result::unchanged);
+    CHECK(list.find(newer.rpc)->service == "other");
+}
+
+TEST_CASE("the dead are forgotten in time and do not come back by themselves")
+{
+    member_list list(make_member(1));
+    const time_point start{};
+    list.set_now(start);
+    list.merge(make_member(2));
+    list.accuse({"127.0.0.1", 2}, member_state::dead);
+    const auto dead = *list.find({"127.0.0.1", 2});
+    list.forget_dead(start);
+    CHECK(list.find(dead.rpc) != nullptr);
+    list.forget_dead(start + std::chrono::seconds(1));
+    CHECK(list.find(dead.rpc) == nullptr);
+    CHECK(list.merge(dead) == merge_result::unchanged);
+    CHECK(list.find(dead.rpc) == nullptr);
+    CHECK(list.services().contains("s"));
+}
+
+TEST_CASE("suspicion becomes death only in its time, and an answer ends it")
+{
+    member_list list(make_member(1));
+    list.merge(make_member(2));
+    const address node{"127.0.0.1", 2};
+    suspicion watch({std::chrono::seconds(3)});
+    const time_point start = steady_clock::now();
+    CHECK(watch.failed(list, node, start));
+    CHECK_FALSE(watch.failed(list, node, start));
+    CHECK(list.find(node)->state == member_state::suspect);
+    CHECK(watch.expire(list, start + std::chrono::seconds(2)).empty());
+    watch.answered(node);
+    auto refuted = *list.find(node);
+    refuted.state = member_state::alive;
+    ++refuted.incarnation;
+    list.merge(refuted);
+    CHECK(watch.expire(list, start + std::chrono::seconds(60)).empty());
+    CHECK(watch.failed(list, node, start));
+    CHECK(watch.expire(list, start + std::chrono::seconds(4)).size() == 1);
+    CHECK(list.find(node)->state == member_state::dead);
+}
+
+TEST_CASE("a node whose own calls all fail takes longer to bury others")
+{
+    member_list list(make_member(1));
+    suspicion watch({std::chrono::seconds(1)});
+    const time_point start = steady_clock::now();
+    for (std::uint16_t port = 2; port < 8; ++port)
+    {
+        list.merge(make_member(port));
+        watch.failed(list, {"127.0.0.1", port}, start);
+    }
+    CHECK(watch.expire(list, start + std::chrono::seconds(5)).empty());
+    CHECK(watch.expire(list, start + std::chrono::seconds(9)).size() == 6);
+}
+
+TEST_CASE("heartbeats reach every member in time, the dead now and then")
+{
+    member_list list(make_member(1));
+    for (std::uint16_t port = 2; port < 12; ++port)
+        list.merge(make_member(port));
+    list.accuse({"127.0.0.1", 11}, member_state::dead);
+    heartbeat_schedule schedule;
+    random_source random(7);
+    std::set<address> reached;
+    for (int i = 0; i < 400; ++i)
+        reached.insert(*schedule.next(list, random));
+    CHECK(reached.size() == 10);
+    CHECK(heartbeat_schedule::ring_successors(list).size() ==
+          heartbeat_schedule::successors);
+}
+
+TEST_CASE("the ring gives every node a watcher")
+{
+    std::set<address> watched;
+    for (std::uint16_t own = 1; own <= 20; ++own)
+    {
+        member_list list(make_member(own));
+        for (std::uint16_t port = 1; port <= 20; ++port)
+            list.merge(make_member(port));
+        for (const auto& each : heartbeat_schedule::ring_successors(list))
+            watched.insert(each);
+    }
+    CHECK(watched.size() == 20);
+}
+
+TEST_CASE("rumors are sent a bounded number of times, a few a message")
+{
+    member_list list(make_member(1));
+    rumor_queue rumors;
+    for (std::uint16_t port = 2; port < 32; ++port)
+    {
+        list.merge(make_member(port));
+        rumors.add({"127.0.0.1", port});
+    }
+    std::size_t sent = 0;
+    int messages = 0;
+    while (rumors.size() != 0 && messages < 1000)
+    {
+        const auto taken = rumors.take(list);
+        CHECK(taken.size() <= rumor_queue::per_message);
+        sent += taken.size();
+        ++messages;
+    }
+    // 31 live members and one more have a logarithm of 6 bits.
+    CHECK(sent == 30 * rumor_queue::repeat_factor * 6);
+}
+
+TEST_CASE("each failure domain has its readers, chosen alike by all")
+{
+    std::size_t readers = 0;
+    for (std::uint16_t own = 1; own <= 30; ++own)
+    {
+        const auto domain = [](std::uint16_t port)
+        { return "d" + std::to_string(port % 3); };
+        member_list list(make_member(own, domain(own)));
+        for (std::uint16_t port = 1; port <= 30; ++port)
+            list.merge(make_member(port, domain(port)));
+        readers += is_reader(list, 2) ? 1 : 0;
+    }
+    CHECK(readers == 6);
+}
--- /dev/null
+++ b/tests/unit/routing.cpp
@@ -0,0 +1,156 @@
+#include "generators.hpp"
+#include "tillerhall/http/fields.hpp"
+#include "tillerhall/routing/route_view.hpp"
+#include "tillerhall/routing/target_board.hpp"
+
+#include <map>
+
+using namespace tillerhall;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+member make_member(std::uint16_t port, const std::string& domain)
+{
+    member made;
+    made.rpc = {"127.0.0.1", port};
+    made.peer = made.caller = made.operators = made.target = made.rpc;
+    made.place = {"r", domain};
+    made.service = "s";
+    made.incarnation = 1;
+    return made;
+}
+
+config_table weights(std::int64_t first, std::int64_t second)
+{
+    row left;
+    left.key = {"s", "a"};
+    left.weight = first;
+    row right;
+    right.key = {"s", "b"};
+    right.weight = second;
+    return config_table({left, right});
+}
+
+route_view make_routes(std::int64_t first, std::int64_t second)
+{
+    member_list list(make_member(1, "a"));
+    for (std::uint16_t port = 2; port <= 6; ++port)
+        list.merge(make_member(port, port % 2 == 0 ? "b" : "a"));
+    return route_view(
+        table_view_ptr(new table_view(1, "d", 0, weights(first, second))),
+        list);
+}
+
+} // namespace
+
+TEST_CASE("routes name only targets of the member list that take calls")
+{
+    rc::prop("routes within members",
+             [](const std::vector<member>& members, const config_table& table)
+             {
+                 member_list list(make_member(99, "a"));
+                 for (const auto& each : members)
+                     list.merge(each);
+                 const route_view routes(
+                     table_view_ptr(new table_view(1, "d", 0, table)), list);
+                 for (const auto& service : table.services())
+                     for (const auto& place : routes.find(service)->places)
+                         for (const auto& target : place.targets)
+                         {
+                             const auto* known = list.find(target.rpc);
+                             RC_ASSERT(known != nullptr);
+                             RC_ASSERT(takes_calls(*known));
+                             RC_ASSERT(known->service == service);
+                         }
+             });
+}
+
+TEST_CASE("every policy obeys weights, avoids what was tried, and finds nobody")
+{
+    for (const auto* policy : policies())
+    {
+        target_board board(*policy, 5);
+        const auto routes = make_routes(75, 25);
+        const auto now = steady_clock::now();
+        std::map<std::string, int> places;
+        for (int i = 0; i < 4000; ++i)
+            ++places[board.choose(routes, "s", {}, now)->owner.place.domain];
+        CHECK(places["a"] > 2850);
+        CHECK(places["a"] < 3150);
+        const auto closed = make_routes(0, 1);
+        for (int i = 0; i < 100; ++i)
+            CHECK(board.choose(closed, "s", {}, now)->owner.place.domain ==
+                  "b");
+        std::vector<address> tried;
+        while (const auto next = board.choose(routes, "s", tried, now))
+        {
+            CHECK(std::ranges::find(tried, next->owner.rpc) == tried.end());
+            tried.push_back(next->owner.rpc);
+        }
+        CHECK(tried.size() == 6);
+        CHECK_FALSE(board.choose(routes, "other", {}, now));
+    }
+}
+
+TEST_CASE("two choices turns from a slow and from a failing target")
+{
+    target_board board(**find_policy("two_choices"), 5);
+    const auto routes = make_routes(1, 0);
+    const auto now = steady_clock::now();
+    const address slow{"127.0.0.1", 1};
+    for (std::uint16_t port = 1; port <= 5; port += 2)
+        for (int i = 0; i < 50; ++i)
+        {
+            const address node{"127.0.0.1", port};
+            board.started(node);
+            board.ended(node, call_verdict::good,
+                        milliseconds(node == slow ? 100 : 2), std::nullopt,
+                        now);
+        }
+    int to_slow = 0;
+    for (int i = 0; i < 1000; ++i)
+        to_slow += board.choose(routes, "s", {}, now)->owner.rpc == slow;
+    CHECK(to_slow < 50);
+    // If all look bad, all are used.
+    for (std::uint16_t port = 1; port <= 5; port += 2)
+        for (int i = 0; i < 50; ++i)
+            board.ended({"127.0.0.1", port}, call_verdict::failed,
+                        milliseconds(1), std::nullopt, now);
+    CHECK(board.choose(routes, "s", {}, now));
+}
+
+TEST_CASE("ambiguous framing is found")
+{
+    request_head head;
+    head.set(http::field::host, "perceel:80");
+    CHECK(framing_fault(head).empty());
+    CHECK(host_service(head) == "perceel");
+    head.insert(http::field::content_length, "3");
+    head.insert(http::field::transfer_encoding, "chunked");
+    CHECK_FALSE(framing_fault(head).empty());
+    head.erase(http::field::transfer_encoding);
+    head.insert(http::field::content_length, "4");
+    CHECK_FALSE(framing_fault(head).empty());
+    head.erase(http::field::content_length);
+    head.insert(http::field::transfer_encoding, "gzip, chunked");
+    CHECK_FALSE(framing_fault(head).empty());
+    head.erase(http::field::transfer_encoding);
+    head.insert(http::field::host, "schuur");
+    CHECK_FALSE(framing_fault(head).empty());
+}
+
+TEST_CASE("fields of one connection and of the mesh do not pass")
+{
+    request_head head;
+    head.set(http::field::connection, "close, X-Private");
+    head.set("X-Private", "1");
+    head.set("X-Public", "1");
+    head.set(field_name::caller, "forged");
+    head.set(field_name::outcome, "not-run");
+    remove_hop_fields(head);
+    remove_mesh_fields(head);
+    CHECK(std::distance(head.begin(), head.end()) == 1);
+    CHECK(head.count("X-Public") == 1);
+}
--- /dev/null
+++ b/tests/unit/rpc_and_metrics.cpp
@@ -0,0 +1,78 @@
+#include "tillerhall/node/messages.hpp"
+#include "tillerhall/observe/latency_histogram.hpp"
+#include "tillerhall/observe/metrics.hpp"
+#include "tillerhall/rpc/codec.hpp"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+using namespace tillerhall;
+
+TEST_CASE("a call passes both codecs, and its refusals are told apart")
+{
+    rpc_server_codec server({"add"},
+                            [](const std::string&, const std::string& params)
+                            { return R"({"got":)" + params + "}"; });
+    rpc_client_codec client(
+        [&](const std::string& request, std::string& answer)
+        {
+            server.handle(request, answer);
+            return true;
+        });
+    const auto reply = client.call("add", R"({"m":18446744073709551615})");
+    CHECK(reply.status == rpc_status::ok);
+    CHECK(boost::json::parse(reply.text)
+              .at("got")
+              .at("m")
+              .to_number<std::uint64_t>() == UINT64_MAX);
+    CHECK(client.call("subtract", "{}").status == rpc_status::unknown_method);
+    CHECK(client.call("add", "{").status == rpc_status::bad_params);
+    std::string answer;
+    CHECK(server.handle("{{", answer) == rpc_status::not_json);
+    CHECK(server.handle(R"({"id":1,"jsonrpc":"2.0","method":"x","params":{}})",
+                        answer) == rpc_status::unknown_method);
+}
+
+TEST_CASE("a failed exchange is a failed call")
+{
+    rpc_client_codec client(
+        [](const std::string&, std::string& answer)
+        {
+            answer = "cut";
+            return false;
+        });
+    CHECK(client.call("x", "{}").status == rpc_status::transport_failed);
+}
+
+TEST_CASE("watch reports add up and name a bounded number of laggards")
+{
+    watch_report sum;
+    for (int i = 0; i < 40; ++i)
+    {
+        watch_report one;
+        one.count("d" + std::to_string(i % 2), "n" + std::to_string(i),
+                  i % 4 == 0);
+        sum.add(watch_report_from_json(to_json(one)));
+    }
+    CHECK(sum.total() == 40);
+    CHECK(sum.at() == 10);
+    CHECK(sum.domains.at("d0").at == 10);
+    CHECK(sum.laggards.size() == watch_report::most_named);
+}
+
+TEST_CASE("a histogram gives quantiles within its bucket width")
+{
+    latency_histogram values;
+    CHECK(values.quantile(0.5) == 0);
+    for (int i = 1; i <= 1000; ++i)
+        values.record(i / 10.0);
+    CHECK(values.quantile(0.5) == Approx(50).epsilon(0.15));
+    CHECK(values.quantile(0.99) == Approx(99).epsilon(0.15));
+    CHECK(values.count_above(90) == Approx(100).epsilon(0.15));
+    metrics_registry registry;
+    registry.histogram("h", "a=\"1\"").record(5);
+    registry.get("c_total").add(3);
+    const auto text = registry.text();
+    CHECK_THAT(text, Catch::Contains("# TYPE c_total counter\nc_total 3"));
+    CHECK_THAT(text, Catch::Contains("h_count{a=\"1\"} 1"));
+}
