A message for a range is taken only by a member in it; refutations are broadcast

Cause, found by the fault schedules: two nodes ran at 100% of a core and the list showed 11 members of 9. A record named an address at which a process answers that calls itself by another one (a node restarted with another advertised address). Its range of a broadcast held the ghost's key, not its own, so it split the range and sent it to itself, for ever.

Change: a range without this node's key is refused, so ranges always shrink. The first heartbeat to a new incarnation asks who answers; a record whose process calls itself otherwise is found dead. A refutation is broadcast, behind a token bucket. A sync is now both ways: what the other side lacks is passed on as rumors.

Tests: ranges by another address, and a node reached by two addresses.

--- /dev/null
+++ b/benchmark/fault_schedule.hpp
@@ -0,0 +1,70 @@
+/** @file A random schedule of faults over a running system. */
+#pragma once
+
+#include "harness/cluster.hpp"
+
+#include "tillerhall/core/random.hpp"
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tillerhall::bench
+{
+
+/** Causes faults one at a time, two at once now and then, and heals them. */
+class fault_schedule
+{
+public:
+    fault_schedule(harness::cluster& system, std::uint64_t seed)
+        : m_system(system)
+        , m_random(seed)
+    {
+    }
+
+    /** Causes one random fault, or heals one. */
+    void step();
+
+    /** Heals everything that is still broken. */
+    void heal_all();
+
+    std::int64_t caused() const noexcept { return m_caused; }
+
+private:
+    using action = void (fault_schedule::*)();
+
+    struct entry
+    {
+        std::string_view name;
+        action cause;
+    };
+
+    static std::span<const entry> entries();
+
+    void kill_some();
+    void pause_one();
+    void cut_domain();
+    void cut_one_way();
+    void slow_links();
+    void source_down();
+    void source_slow();
+    void source_loses_answers();
+    void source_fails_writes();
+    void send_corrupt_update();
+    void replay_old_version();
+    void drain_target();
+    std::size_t any_node();
+    void push(std::size_t node, const boost::json::object& params);
+
+    harness::cluster& m_system;
+    random_source m_random;
+    std::vector<std::size_t> m_killed;
+    std::vector<std::size_t> m_paused;
+    std::vector<std::size_t> m_drained;
+    std::int64_t m_caused = 0;
+};
+
+} // namespace tillerhall::bench
--- a/benchmark/harness/cluster.cpp
+++ b/benchmark/harness/cluster.cpp
@@ -278,8 +278,11 @@
         all["node.advertise_peer"] = node.advertise_peer.text();
     }
     std::string seeds;
+    // The first short run, which only fixes the ports, must meet nobody.
+    const bool meets =
+        !m_options.with_faultproxy || node.advertise_rpc.port != 0;
     for (std::size_t i = 0; i < std::min(seed_count + 1, m_nodes.size()); ++i)
-        if (i != index && m_nodes[i].advertise_rpc.port != 0)
+        if (meets && i != index && m_nodes[i].advertise_rpc.port != 0)
             seeds +=
                 (seeds.empty() ? "" : ", ") + m_nodes[i].advertise_rpc.text();
     all["mesh.seeds"] = "[" + seeds + "]";
--- /dev/null
+++ b/benchmark/requests.cpp
@@ -0,0 +1,223 @@
+/** @file What the mesh adds to a call, policy by policy. */
+#include "experiment.hpp"
+#include "load.hpp"
+
+#include "tillerhall/routing/policy.hpp"
+#include "tillerhall/table/column.hpp"
+#include "tillerhall/table/csv.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <csignal>
+
+namespace tillerhall::bench
+{
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr const char* service = "oogstbeurs";
+constexpr std::size_t target_count = 6;
+
+/** Six targets in one place, one of them slow on request, and an entry. */
+harness::cluster_options six_targets(const std::string& policy)
+{
+    harness::cluster_options options;
+    for (std::size_t i = 0; i < target_count; ++i)
+        options.placements.push_back({service, "polder-a"});
+    options.placements.push_back({"perceel", "polder-a"});
+    options.settings = {{"routing.policy", policy},
+                        {"target.slots", "12"},
+                        {"log.level", "warn"},
+                        {"mesh.heartbeat_ms", "200"}};
+    return options;
+}
+
+/** Measures one policy. */
+class policy_run
+{
+public:
+    policy_run(worker& on,
+               const cxxopts::ParseResult& options,
+               std::string policy)
+        : m_worker(on)
+        , m_policy(std::move(policy))
+        , m_rate(options["rate"].as<double>())
+        , m_length(std::chrono::duration_cast<duration>(
+              std::chrono::duration<double>(options["seconds"].as<double>())))
+        , m_faults(options.count("faults") != 0)
+        , m_system(on, six_targets(m_policy))
+    {
+    }
+
+    result<json::object> run()
+    {
+        if (auto started = m_system.start(); !started)
+            return started.reason();
+        const auto table = m_system.default_table();
+        if (!m_system.accept(0, table, 0, "first") ||
+            !m_system.wait_for_version(1))
+            return error(error_code::not_ready, "no first version");
+        // Fills the pools and warms both ways.
+        load(m_rate / 2, std::chrono::seconds(1), direct(), nullptr);
+        load(m_rate / 2, std::chrono::seconds(1), mesh(), nullptr);
+        const auto straight = load(m_rate, m_length, direct(), nullptr);
+        call_ledger ledger;
+        if (m_faults)
+            m_worker.spawn([this] { disturb(); });
+        const auto through = load(m_rate, m_length, mesh(), &ledger);
+        const auto verdict = ledger.settle(m_system);
+        m_system.set_target(0, {{"service_ms", 50}});
+        const auto slow = load(m_rate, m_length, mesh(), nullptr);
+        m_system.set_target(0, {{"service_ms", 2}});
+        return describe(*straight, *through, *slow, verdict);
+    }
+
+private:
+    std::vector<address> direct()
+    {
+        std::vector<address> targets;
+        for (std::size_t i = 0; i < target_count; ++i)
+            targets.push_back(m_system.nodes()[i].target);
+        return targets;
+    }
+
+    std::vector<address> mesh()
+    {
+        return {m_system.nodes()[target_count].caller};
+    }
+
+    std::unique_ptr<load_result> load(double rate,
+                                      duration length,
+                                      std::vector<address> through,
+                                      call_ledger* ledger)
+    {
+        const auto prefix = "load-" + std::to_string(++m_loads) + "-";
+        load_plan plan;
+        plan.rate = rate;
+        plan.length = length;
+        plan.through = std::move(through);
+        plan.make = [prefix](std::size_t number)
+        {
+            return harness::call_request{
+                service, prefix + std::to_string(number), "POST", "/", "x"};
+        };
+        return run_load(m_worker, plan, ledger);
+    }
+
+    /** Resets, a killed owner and a drained target, during the load. */
+    void disturb()
+    {
+        sleep_for(m_worker.io(), m_length / 5);
+        m_system.set_target(1, {{"reset_before_answer", 5}});
+        sleep_for(m_worker.io(), m_length / 5);
+        m_system.nodes()[2].runs.kill();
+        sleep_for(m_worker.io(), m_length / 5);
+        m_system.set_target(3, {{"drain", 1}});
+        sleep_for(m_worker.io(), m_length / 5);
+        m_system.set_target(4, {{"shed", 1}});
+    }
+
+    json::object describe(const load_result& straight,
+                          const load_result& through,
+                          const load_result& slow,
+                          const ledger_verdict& verdict)
+    {
+        const auto added = [&](double share)
+        {
+            return through.from_schedule.quantile(share) -
+                   straight.from_schedule.quantile(share);
+        };
+        std::int64_t over = 0;
+        std::int64_t most = 0;
+        for (std::size_t i = 0; i < target_count; ++i)
+        {
+            const auto counts =
+                m_system.get(m_system.nodes()[i].target, "/admin/stats");
+            if (!counts)
+                continue;
+            over += counts->at("over_slots").to_number<std::int64_t>();
+            most = std::max(
+                most, counts->at("most_running").to_number<std::int64_t>());
+        }
+        return {
+            {"name", m_policy},
+            {"is_default", m_policy == policies().front()->name()},
+            {"direct_p50_ms", straight.from_schedule.quantile(0.5)},
+            {"direct_p99_ms", straight.from_schedule.quantile(0.99)},
+            {"added_p50_ms", added(0.5)},
+            {"added_p99_ms", added(0.99)},
+            {"added_p999_ms", added(0.999)},
+            {"slow_target_p99_ms", slow.from_schedule.quantile(0.99)},
+            {"goodput_share", static_cast<double>(through.good) /
+                                  static_cast<double>(through.sent)},
+            {"refused", verdict.refused},
+            {"unknown", verdict.unknown},
+            {"retries_per_call", retries() / static_cast<double>(through.sent)},
+            {"doubled", verdict.doubled},
+            {"wrong", verdict.wrong},
+            {"not_run_that_ran", verdict.not_run_that_ran},
+            {"most_running", most},
+            {"limit_exceeded", over}};
+    }
+
+    double retries()
+    {
+        api_client client(m_worker.io(),
+                          m_system.nodes()[target_count].operators);
+        const auto metrics =
+            client.call("GET", "/metrics", "", std::chrono::seconds(5));
+        const std::string name = "tillerhall_retries_total{service=\"" +
+                                 std::string(service) + "\"} ";
+        const auto at = metrics ? metrics->body.find(name) : std::string::npos;
+        return at == std::string::npos
+                   ? 0
+                   : std::stod(metrics->body.substr(at + name.size()));
+    }
+
+    worker& m_worker;
+    std::string m_policy;
+    double m_rate;
+    duration m_length;
+    bool m_faults;
+    harness::cluster m_system;
+    int m_loads = 0;
+};
+
+} // namespace
+
+int run_requests(worker& on, const cxxopts::ParseResult& options)
+{
+    const auto wanted = options["policy"].as<std::string>();
+    if (wanted != "all" && !find_policy(wanted))
+    {
+        say(find_policy(wanted).reason().message());
+        return 2;
+    }
+    json::array measured;
+    bool held = true;
+    for (const auto* each : policies())
+    {
+        const std::string name(each->name());
+        if (wanted != "all" && wanted != name)
+            continue;
+        auto outcome = policy_run(on, options, name).run();
+        if (!outcome)
+        {
+            say(outcome.reason().message());
+            return 1;
+        }
+        say(json::serialize(*outcome));
+        for (const auto* count : {"doubled", "wrong", "not_run_that_ran"})
+            held = held && outcome->at(count).to_number<int>() == 0;
+        measured.push_back(std::move(*outcome));
+    }
+    report("requests", {{"rate", options["rate"].as<double>()},
+                        {"seconds", options["seconds"].as<double>()},
+                        {"faults", options.count("faults") != 0},
+                        {"policies", std::move(measured)}});
+    return held ? 0 : 1;
+}
+
+} // namespace tillerhall::bench
--- a/benchmark/tiller_bench.cpp
+++ b/benchmark/tiller_bench.cpp
@@ -20,6 +20,11 @@
                run_demo},
     experiment{"convergence", "convergence time and control bytes by strategy",
                run_convergence},
+    experiment{"storm", "many nodes killed and back at once", run_storm},
+    experiment{"requests", "what the mesh adds to a call, by policy",
+               run_requests},
+    experiment{"drain", "a node leaves under load", run_drain},
+    experiment{"faults", "random faults with the promises watched", run_faults},
 };
 
 cxxopts::Options make_options(const std::string& name)
--- a/include/tillerhall/core/worker.hpp
+++ b/include/tillerhall/core/worker.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/fiber/future/promise.hpp>
 #include <functional>
 #include <vector>
 
@@ -43,6 +44,16 @@
 /** Runs @p bodies as fibers of this thread and waits for all of them. */
 void run_parallel(std::vector<worker::task> bodies);
 
+/** Runs @p body on @p other and waits for its result, from any worker. */
+template <class Body>
+auto run_on(worker& other, Body body)
+{
+    boost::fibers::promise<decltype(body())> promised;
+    auto awaited = promised.get_future();
+    other.spawn([&] { promised.set_value(body()); });
+    return awaited.get();
+}
+
 /**
  * Runs @p body as a fiber on a worker of the calling thread and returns its
  * exit code when it is done. For command line programs; fibers still waiting
--- a/include/tillerhall/distribution/key_range.hpp
+++ b/include/tillerhall/distribution/key_range.hpp
@@ -49,6 +49,13 @@
                                     std::size_t fanout,
                                     random_source& random);
 
+/**
+ * @return whether @p range was meant for this node. One that does not hold
+ * its key came by another address of it; passing it on would send it round
+ * for ever, while a range that holds the key always shrinks.
+ */
+bool is_meant_for(const member& self, const key_range& range);
+
 /** Writes the range as two hexadecimal members, "lo" and "hi". */
 void put_range(boost::json::object& into, const key_range& range);
 
--- a/include/tillerhall/node/membership_controller.hpp
+++ b/include/tillerhall/node/membership_controller.hpp
@@ -54,6 +54,9 @@
     void send_heartbeat();
     heartbeat_message own_message();
     void heard(const heartbeat_message& message, const address& peer);
+    void found_alias(const address& node, const std::string& real);
+    void refute(const member& accusation);
+    void pass_on_newer(const sync_answer& theirs);
     void sync_with(const address& peer);
     void resume();
     void bury_overdue();
@@ -78,7 +81,9 @@
     source_freshness m_freshness;
     token_bucket m_join_news;
     token_bucket m_syncs;
+    token_bucket m_refutations;
     std::map<address, std::uint64_t> m_versions_seen;
+    std::map<address, std::uint64_t> m_verified; ///< incarnation that answered
     std::vector<address> m_hints;
     unsigned m_differences_in_row = 0;
 };
--- a/include/tillerhall/node/mesh_state.hpp
+++ b/include/tillerhall/node/mesh_state.hpp
@@ -1,6 +1,7 @@
 /** @file What the control plane of a node works on, on its first worker. */
 #pragma once
 
+#include "tillerhall/core/random.hpp"
 #include "tillerhall/core/worker.hpp"
 #include "tillerhall/membership/rumor_queue.hpp"
 #include "tillerhall/node/blackboard.hpp"
--- a/include/tillerhall/node/messages.hpp
+++ b/include/tillerhall/node/messages.hpp
@@ -31,7 +31,8 @@
 /** A heartbeat and its answer: where the sender stands, and news. */
 struct heartbeat_message
 {
-    std::string from; ///< control address; empty in an answer
+    std::string from; ///< control address; in an answer only if asked for
+    bool asks_identity = false; ///< the answer shall say who answers
     std::uint64_t version = 0;
     std::uint64_t members_digest = 0;
     /** Milliseconds since a read of the source that anyone told of; -1 none. */
@@ -54,6 +55,7 @@
 /** The records of the buckets that differ. */
 struct sync_answer
 {
+    std::vector<std::size_t> differing; ///< indexes of those buckets
     std::vector<member> members;
     std::set<std::string> services;
     std::set<std::string> places;
--- a/include/tillerhall/platform/http_platform.hpp
+++ b/include/tillerhall/platform/http_platform.hpp
@@ -48,7 +48,8 @@
     result<std::optional<table_item>> get(const std::string& key) override;
     result<std::vector<table_item>> list_last(const std::string& prefix,
                                               std::size_t limit) override;
-    result<bool> transact(const table_transaction& transaction) override;
+    result<commit_outcome>
+    transact(const table_transaction& transaction) override;
 
 private:
     platform_connection m_connection;
--- a/include/tillerhall/platform/table_service.hpp
+++ b/include/tillerhall/platform/table_service.hpp
@@ -33,6 +33,13 @@
     std::vector<table_item> writes; ///< revisions are ignored
 };
 
+/** How a transaction ended. */
+struct commit_outcome
+{
+    bool committed = false;
+    std::uint64_t revision = 0; ///< of every item it wrote
+};
+
 /** The table service. Every failure is `unavailable` or `outcome_unknown`. */
 class table_service
 {
@@ -47,10 +54,11 @@
                                                       std::size_t limit) = 0;
 
     /**
-     * @return whether it was committed; `unavailable` means that it was not,
-     * `outcome_unknown` that it may have been.
+     * @return whether its conditions held; `unavailable` means that it did
+     * nothing, `outcome_unknown` that it may have been committed.
      */
-    virtual result<bool> transact(const table_transaction& transaction) = 0;
+    virtual result<commit_outcome>
+    transact(const table_transaction& transaction) = 0;
 };
 
 } // namespace tillerhall
--- a/src/distribution/key_range.cpp
+++ b/src/distribution/key_range.cpp
@@ -146,6 +146,11 @@
     return parts;
 }
 
+bool is_meant_for(const member& self, const key_range& range)
+{
+    return range.contains(key_of(self));
+}
+
 void put_range(boost::json::object& into, const key_range& range)
 {
     if (range == key_range{})
--- a/src/node/distribution_controller.cpp
+++ b/src/node/distribution_controller.cpp
@@ -173,6 +173,8 @@
 json::object distribution_controller::on_push(const json::object& params)
 {
     const auto message = push_from_json(params);
+    if (!is_meant_for(m_mesh.members.self(), message.range))
+        return refusal(error_code::invalid_argument, "not this node's range");
     const auto before = current()->version();
     const auto decision = take(message.update);
     const bool is_new = message.update.version > before;
--- a/src/node/membership_controller.cpp
+++ b/src/node/membership_controller.cpp
@@ -17,6 +17,8 @@
 // the square of a returning herd.
 constexpr double join_news_per_s = 1;
 constexpr double join_news_burst = 5;
+constexpr double refutations_per_s = 1;
+constexpr double refutation_burst = 3;
 constexpr double syncs_per_s = 0.5;
 constexpr double sync_burst = 2;
 // Rumors need a few rounds; only a lasting difference is worth a sync.
@@ -34,6 +36,7 @@
     , m_suspicion({milliseconds(mesh.config.suspect_ms)})
     , m_join_news(join_news_per_s, join_news_burst)
     , m_syncs(syncs_per_s, sync_burst)
+    , m_refutations(refutations_per_s, refutation_burst)
 {
     const auto beats = milliseconds(mesh.config.heartbeat_ms);
     mesh.board.control.set_limit(
@@ -134,6 +137,11 @@
         return;
     auto message = own_message();
     message.from = m_mesh.members.self().rpc.text();
+    const auto* known = m_mesh.members.find(*peer);
+    const auto incarnation = known == nullptr ? 0 : known->incarnation;
+    const auto verified = m_verified.find(*peer);
+    message.asks_identity =
+        verified == m_verified.end() || verified->second != incarnation;
     const auto answer = m_mesh.pool.call(
         {*peer, traffic_kind::heartbeat, method::heartbeat, to_json(message),
          milliseconds(m_mesh.config.heartbeat_timeout_ms)});
@@ -143,6 +151,9 @@
     try
     {
         const auto read = heartbeat_from_json(*answer);
+        if (message.asks_identity && read.from != peer->text())
+            return found_alias(*peer, read.from);
+        m_verified[*peer] = incarnation;
         if (read.sender_unknown)
             m_mesh.rumors.add(m_mesh.members.self().rpc);
         heard(read, *peer);
@@ -164,6 +175,20 @@
                                 "no answer to a heartbeat");
 }
 
+void membership_controller::found_alias(const address& node,
+                                        const std::string& real)
+{
+    // The process there goes by another address now, so that record is of
+    // one that is gone.
+    if (m_mesh.members.accuse(node, member_state::dead) !=
+        merge_result::changed)
+        return;
+    m_mesh.rumors.add(node);
+    m_tables.members_changed();
+    m_mesh.board.decisions.note("found_dead", node.text(),
+                                "the process there calls itself " + real);
+}
+
 void membership_controller::bury_overdue()
 {
     const auto now = steady_clock::now();
@@ -175,6 +200,8 @@
                                     "a suspect that did not refute");
     }
     m_mesh.members.forget_dead(now - dead_kept);
+    std::erase_if(m_verified, [this](const auto& each)
+                  { return m_mesh.members.find(each.first) == nullptr; });
     std::erase_if(m_versions_seen, [this](const auto& seen)
                   { return m_mesh.members.find(seen.first) == nullptr; });
 }
@@ -207,6 +234,8 @@
     // What the sender says of itself comes first, so it is known below.
     heard(message, *peer);
     auto answer = own_message();
+    if (message.asks_identity)
+        answer.from = m_mesh.members.self().rpc.text();
     answer.sender_unknown = m_mesh.members.find(*peer) == nullptr;
     const auto* known = m_mesh.members.find(*peer);
     if (known != nullptr && !is_live(*known))
@@ -227,6 +256,7 @@
         const auto read = sync_answer_from_json(*answer);
         m_mesh.members.learn_names(read.services, read.places);
         merge_all(read.members, "sync", spreading::none);
+        pass_on_newer(read);
     }
     catch (const std::exception&)
     {
@@ -234,6 +264,20 @@
     }
 }
 
+void membership_controller::pass_on_newer(const sync_answer& theirs)
+{
+    std::map<address, member> known;
+    for (const auto& each : theirs.members)
+        known[each.rpc] = each;
+    for (const auto index : theirs.differing)
+        for (const auto& own : m_mesh.members.bucket(index))
+        {
+            const auto found = known.find(own.rpc);
+            if (found == known.end() || supersedes(own, found->second))
+                m_mesh.rumors.add(own.rpc);
+        }
+}
+
 json::object membership_controller::on_sync(const json::object& params)
 {
     const auto theirs = buckets_from_json(params);
@@ -245,6 +289,7 @@
     {
         if (theirs[i] == ours[i])
             continue;
+        answer.differing.push_back(i);
         const auto bucket = m_mesh.members.bucket(i);
         answer.members.insert(answer.members.end(), bucket.begin(),
                               bucket.end());
@@ -353,6 +398,9 @@
 json::object membership_controller::on_announce(const json::object& params)
 {
     const auto message = announce_from_json(params);
+    if (!is_meant_for(m_mesh.members.self(), message.range))
+        return {{"e", name_of(error_code::invalid_argument)},
+                {"d", "not this node's range"}};
     merge(message.record, "announcement", spreading::none);
     broadcast(message);
     return {};
@@ -395,11 +443,20 @@
              std::string("source=\"") + source + "\"")
         .add();
     if (merged == merge_result::refute)
-        m_mesh.board.decisions.note("refuted", record.rpc.text(),
-                                    "others took this node for gone",
-                                    {{"state", name_of(record.state)}});
+        refute(record);
     else if (was_dead)
         m_mesh.board.decisions.note("returned", record.rpc.text(), source);
 }
 
+void membership_controller::refute(const member& accusation)
+{
+    m_mesh.board.decisions.note("refuted", accusation.rpc.text(),
+                                "others took this node for gone",
+                                {{"state", name_of(accusation.state)}});
+    // Rumors alone are not enough after a pause: the answers to heartbeats
+    // whose senders have long given up would use them up.
+    if (m_refutations.take(steady_clock::now()))
+        broadcast({m_mesh.members.self(), key_range{}});
+}
+
 } // namespace tillerhall
--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -106,6 +106,8 @@
         members["f"] = sent.from;
     if (sent.source_age_ms >= 0)
         members["a"] = sent.source_age_ms;
+    if (sent.asks_identity)
+        members["q"] = 1;
     if (sent.sender_unknown)
         members["u"] = 1;
     if (!sent.news.empty())
@@ -120,6 +122,7 @@
     read.version = json::value_to<std::uint64_t>(members.at("v"));
     read.members_digest = json::value_to<std::uint64_t>(members.at("m"));
     read.source_age_ms = value_or<std::int64_t>(members, "a", -1);
+    read.asks_identity = members.contains("q");
     read.sender_unknown = members.contains("u");
     read.news = records_from(members.if_contains("r"));
     return read;
@@ -149,15 +152,23 @@
 
 json::object to_json(const sync_answer& sent)
 {
-    return {{"r", records_to_json(sent.members)},
+    return {{"d", json::value_from(sent.differing)},
+            {"r", records_to_json(sent.members)},
             {"s", json::value_from(sent.services)},
             {"p", json::value_from(sent.places)}};
 }
 
 sync_answer sync_answer_from_json(const json::object& members)
 {
-    return {records_from(members.if_contains("r")), names_from(members, "s"),
-            names_from(members, "p")};
+    sync_answer read;
+    read.members = records_from(members.if_contains("r"));
+    read.services = names_from(members, "s");
+    read.places = names_from(members, "p");
+    read.differing = json::value_to<std::vector<std::size_t>>(members.at("d"));
+    for (const auto index : read.differing)
+        if (index >= member_list::bucket_count)
+            throw std::out_of_range("no such bucket");
+    return read;
 }
 
 json::object to_json(const announce_message& sent)
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -150,6 +150,21 @@
     return kinds;
 }
 
+/** @return routes in force that name a service or target not known here. */
+std::int64_t orphan_routes(const route_view& routes, const member_list& members)
+{
+    std::int64_t orphans = 0;
+    for (const auto& service : routes.table().table().services())
+    {
+        orphans += members.services().contains(service) ? 0 : 1;
+        for (const auto& place : routes.find(service)->places)
+            orphans += std::ranges::count_if(
+                place.targets, [&](const member& each)
+                { return members.find(each.rpc) == nullptr; });
+    }
+    return orphans;
+}
+
 std::int64_t serving_targets(const member_list& members)
 {
     const auto all = members.all();
@@ -293,6 +308,8 @@
                           {"accepted_us", board.accepted_us.load()},
                           {"applied_us", board.applied_us.load()},
                           {"members", m_mesh.members.live_count()},
+                          {"orphan_routes",
+                           orphan_routes(*board.routes.get(), m_mesh.members)},
                           {"targets_serving", serving_targets(m_mesh.members)},
                           {"members_digest", m_mesh.members.digest()},
                           {"strategy", m_tables.strategy().name()},
--- a/src/node/watch.cpp
+++ b/src/node/watch.cpp
@@ -79,7 +79,11 @@
 json::object distribution_controller::on_watch(const json::object& params)
 {
     const auto version = json::value_to<std::uint64_t>(params.at("v"));
-    return to_json(watch_range(version, range_from_json(params)));
+    const auto range = range_from_json(params);
+    if (!is_meant_for(m_mesh.members.self(), range))
+        return {{"e", name_of(error_code::invalid_argument)},
+                {"d", "not this node's range"}};
+    return to_json(watch_range(version, range));
 }
 
 } // namespace tillerhall
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -112,14 +112,19 @@
                       });
 }
 
-result<bool> http_table_service::transact(const table_transaction& transaction)
+result<commit_outcome>
+http_table_service::transact(const table_transaction& transaction)
 {
     const auto response = m_connection.call(
         "POST", "/tables/v1/transact", json::serialize(to_json(transaction)));
     if (response && response->status == ok)
-        return true;
+        return parse_body(*response,
+                          [](const json::object& body) -> commit_outcome {
+                              return {true, json::value_to<std::uint64_t>(
+                                                body.at("revision"))};
+                          });
     if (response && response->status == refused)
-        return false;
+        return commit_outcome{};
     // 503 is the service's word that it did nothing; see docs/PLATFORM.md.
     if (response && response->status == overloaded)
         return unexpected("table service write", *response);
--- a/src/platform/table_store.cpp
+++ b/src/platform/table_store.cpp
@@ -165,7 +165,10 @@
         {head_key, json::serialize(head), 0},
         {version_key(record.version), to_text(record), 0},
         {accept_prefix + record.accept_id, std::to_string(record.version), 0}};
-    return m_tables.transact(transaction);
+    const auto outcome = m_tables.transact(transaction);
+    if (!outcome)
+        return outcome.reason();
+    return outcome->committed;
 }
 
 } // namespace tillerhall
--- a/standins/platform/platform_state.cpp
+++ b/standins/platform/platform_state.cpp
@@ -156,7 +156,8 @@
         --m_faults.lose_answers;
         return drop();
     }
-    return respond(200, json::object{{"committed", true}});
+    return respond(200,
+                   json::object{{"committed", true}, {"revision", m_revision}});
 }
 
 http_response platform_state::put_object(const std::string& name,
--- a/tests/integration/distribution.cpp
+++ b/tests/integration/distribution.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 
 #include "tillerhall/core/await.hpp"
+#include "tillerhall/http/listener.hpp"
 
 using namespace tillerhall;
 using namespace tillerhall::harness;
@@ -62,6 +63,46 @@
            failed == boost::asio::error::broken_pipe;
 }
 
+/** Passes connections on to an address, so that it has a second one. */
+class listener_relay
+{
+public:
+    listener_relay(worker& on, const address& to)
+        : m_listener(std::move(*listener::open(on, {to.ip, 0})))
+    {
+        m_listener->start([&on, to](tcp_stream& near) { pass(on, near, to); });
+    }
+
+    const address& local() const { return m_listener->local(); }
+
+private:
+    static void pass(worker& on, tcp_stream& near, const address& to)
+    {
+        auto far = connect_stream(on.io(), to, std::chrono::seconds(5));
+        if (!far)
+            return;
+        const auto pump = [](tcp_stream& from, tcp_stream& into)
+        {
+            std::array<char, 4096> piece{};
+            boost::system::error_code failed;
+            while (!failed)
+            {
+                from.expires_never();
+                const auto size = from.async_read_some(
+                    boost::asio::buffer(piece), await{failed});
+                if (!failed)
+                    boost::asio::async_write(
+                        into, boost::asio::buffer(piece.data(), size),
+                        await{failed});
+            }
+            into.socket().close(failed);
+        };
+        run_parallel({[&] { pump(near, **far); }, [&] { pump(**far, near); }});
+    }
+
+    std::unique_ptr<listener> m_listener;
+};
+
 } // namespace
 
 TEST_CASE("a domain cut off runs on and catches up when healed")
@@ -185,6 +226,36 @@
         });
 }
 
+TEST_CASE("a node known by two addresses is found out and sends nothing round")
+{
+    on_worker(
+        [](worker& on)
+        {
+            started_cluster system(on, small(6));
+            const auto& real = system.nodes()[0];
+            const listener_relay relay(on, real.rpc);
+            member ghost;
+            ghost.rpc = relay.local();
+            ghost.peer = ghost.caller = ghost.operators = ghost.rpc;
+            ghost.place = {"nl-west", "polder-a"};
+            ghost.service = "perceel";
+            ghost.target = real.target;
+            ghost.incarnation = 1;
+            REQUIRE(send(on, system.nodes()[1].rpc, method::join,
+                         {{"r", to_json(ghost)}}));
+            CHECK(system.wait_until(
+                [&]
+                {
+                    for (std::size_t i = 0; i < 6; ++i)
+                        if (number(system.status(i), "members") != 6)
+                            return false;
+                    return true;
+                }));
+            REQUIRE(system.accept(0, with_weight(system.csv(), 6), 1, "y"));
+            CHECK(system.wait_for_version(2));
+        });
+}
+
 TEST_CASE("bad frames close their connection only, and are counted")
 {
     on_worker(
--- a/tests/unit/key_range.cpp
+++ b/tests/unit/key_range.cpp
@@ -111,3 +111,12 @@
              });
     CHECK_THROWS(range_from_json({{"lo", "x"}}));
 }
+
+TEST_CASE("a range that came by another address is not this node's")
+{
+    const auto self = make_member(1);
+    const auto key = key_of(self);
+    CHECK(is_meant_for(self, key_range{}));
+    CHECK(is_meant_for(self, key_range{key, key}));
+    CHECK_FALSE(is_meant_for(self, key_range{key + 1, UINT64_MAX}));
+}
