At most once for keyed calls: claims in the table service, grouped

Cause: a caller that resends a sale after a lost answer must not sell twice, whichever node it comes to and whatever fails meanwhile.

Change: an Idempotency-Key on a call that may not be repeated is claimed before the call is passed on. The key is bound to caller, credentials, service, method, target and body. A shard of keys belongs to one live member by rendezvous hashing, which writes the claims of a moment in one transaction; the compare covers all items of the shard's ring of minutes, so two keepers cannot both grant a key. No lease: a claim is held for 14 minutes whatever its holder does, and a claimed call's own deadline is 5. Store down: refused as not run.

--- /dev/null
+++ b/benchmark/claims.cpp
@@ -0,0 +1,84 @@
+/** @file Claims a second, their writes and the time they add. */
+#include "experiment.hpp"
+#include "load.hpp"
+
+#include <boost/json.hpp>
+
+namespace tillerhall::bench
+{
+namespace
+{
+
+constexpr const char* service = "oogstbeurs";
+// Each so many-th call repeats the key of the one before, through another
+// node, as a caller does that gave up too early.
+constexpr std::size_t repeat_every = 10;
+
+} // namespace
+
+int run_claims(worker& on, const cxxopts::ParseResult& options)
+{
+    harness::cluster_options built;
+    for (int i = 0; i < 8; ++i)
+        built.placements.push_back({service, "polder-a"});
+    built.settings["log.level"] = "warn";
+    built.settings["target.slots"] = "100";
+    built.behaviour = R"({"slots":100,"service_ms":1})";
+    harness::cluster system(on, built);
+    if (const auto started = system.start(); !started)
+    {
+        say(started.reason().message());
+        return 1;
+    }
+    if (!system.accept(0, system.default_table(), 0, "first") ||
+        !system.wait_for_version(1))
+        return 1;
+    load_plan plan;
+    plan.rate = options["rate"].as<double>();
+    plan.length = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(options["seconds"].as<double>()));
+    for (auto& each : system.nodes())
+        plan.through.push_back(each.caller);
+    const auto make = [](const std::string& prefix, bool keyed)
+    {
+        return [prefix, keyed](std::size_t number)
+        {
+            const auto first =
+                number % repeat_every == 1 && keyed ? number - 1 : number;
+            const auto id = prefix + std::to_string(first);
+            harness::call_request call{service, id, "POST", "/", "x"};
+            if (keyed)
+                call.fields = {{"Idempotency-Key", id}};
+            return call;
+        };
+    };
+    plan.make = make("plain-", false);
+    const auto plain = run_load(on, plan, nullptr);
+    system.get(system.platform(), "/admin/reset");
+    plan.make = make("keyed-", true);
+    call_ledger ledger;
+    const auto keyed = run_load(on, plan, &ledger);
+    const auto counts = system.get(system.platform(), "/admin/stats");
+    const auto verdict = ledger.settle(system);
+    const double writes =
+        counts ? counts->at("writes").to_number<double>() : -1;
+    report("claims",
+           {{"rate", plan.rate},
+            {"claims_s", static_cast<double>(verdict.good) / keyed->seconds},
+            {"store_writes_s", writes / keyed->seconds},
+            {"store_reads_s",
+             (counts ? counts->at("reads").to_number<double>() : -1) /
+                 keyed->seconds},
+            {"plain_p99_ms", plain->from_schedule.quantile(0.99)},
+            {"added_p50_ms", keyed->from_schedule.quantile(0.5) -
+                                 plain->from_schedule.quantile(0.5)},
+            {"added_p99_ms", keyed->from_schedule.quantile(0.99) -
+                                 plain->from_schedule.quantile(0.99)},
+            {"calls", keyed->sent},
+            {"good", keyed->good},
+            {"refused", verdict.refused},
+            {"doubled", verdict.doubled}});
+    return verdict.doubled == 0 ? 0 : 1;
+}
+
+} // namespace tillerhall::bench
--- a/benchmark/tiller_bench.cpp
+++ b/benchmark/tiller_bench.cpp
@@ -24,6 +24,8 @@
     experiment{"requests", "what the mesh adds to a call, by policy",
                run_requests},
     experiment{"drain", "a node leaves under load", run_drain},
+    experiment{"claims", "keyed calls: claims a second and their writes",
+               run_claims},
     experiment{"faults", "random faults with the promises watched", run_faults},
 };
 
--- a/include/tillerhall/http/fields.hpp
+++ b/include/tillerhall/http/fields.hpp
@@ -25,12 +25,17 @@
 /** The owner's load as a share of its limit, from owner to entry. */
 inline constexpr std::string_view load = "Tillerhall-Load";
 inline constexpr std::string_view request_id = "X-Request-Id";
+/** By which a caller marks repeats of one operation. */
+inline constexpr std::string_view idempotency_key = "Idempotency-Key";
+/** Set in an answer that is given again. */
+inline constexpr std::string_view replay = "Tillerhall-Replay";
 } // namespace field_name
 
 namespace outcome_value
 {
 inline constexpr std::string_view not_run = "not-run";
 inline constexpr std::string_view unknown = "outcome-unknown";
+inline constexpr std::string_view already_ran = "already-ran";
 } // namespace outcome_value
 
 /** Removes fields that hold for one connection only (RFC 9110, 7.6.1). */
--- a/include/tillerhall/http/relay.hpp
+++ b/include/tillerhall/http/relay.hpp
@@ -20,6 +20,14 @@
     caller_gone ///< nobody waits any more
 };
 
+/** A whole answer, kept to be given again. */
+struct kept_answer
+{
+    unsigned status = 0;
+    std::string content_type;
+    std::string body;
+};
+
 /** What passing a call on led to. */
 struct relay_result
 {
@@ -30,6 +38,7 @@
     std::optional<double> load; ///< the owner's word
     bool reusable = false;      ///< the upstream connection may carry another
     bool started = false;       ///< at least one byte went upstream
+    std::optional<kept_answer> kept; ///< if asked for and short enough
 };
 
 /** Who vouches for a refusal that comes from upstream. */
@@ -48,6 +57,7 @@
     std::string not_run_header; ///< the target's sign of a call not run
     std::string request_id;     ///< set in the answer
     std::optional<double> load; ///< set in the answer, for an entry node
+    bool keep_answer = false;   ///< copy a short whole answer
 };
 
 /**
--- a/include/tillerhall/node/call_context.hpp
+++ b/include/tillerhall/node/call_context.hpp
@@ -19,6 +19,7 @@
     time_point start;
     time_point deadline;     ///< the caller's own, if it gave one
     bool repeatable = false; ///< by its method; a row may allow more
+    std::string claim_key;   ///< digest of a key that must be claimed, or empty
 };
 
 /** Reads the context; a request id is made if there is none to keep. */
@@ -30,6 +31,17 @@
                          time_point deadline,
                          time_point now);
 
+/**
+ * @return the digest by which a keyed call is claimed, bound to the caller's
+ * address and credentials, the service, the method and the target; empty for
+ * a call without a key.
+ */
+std::string claim_key_of(const request_head& head,
+                         const std::string& caller_ip);
+
+/** @return the digest of the body as far as it is in memory, and its length. */
+std::string body_digest(const inbound_call& call);
+
 /** What a caller is told when it gets no target's answer. */
 struct call_problem
 {
@@ -44,6 +56,11 @@
 /** @return the problem that @p result is to the caller. */
 call_problem problem_of(const relay_result& result);
 
+/** Answers @p call with @p answer, given before for the same key. */
+void send_replay(inbound_call& call,
+                 const std::string& request_id,
+                 const kept_answer& answer);
+
 /**
  * Answers @p call with problem details (RFC 9457).
  * @param load the owner's load for an entry node
--- a/include/tillerhall/node/claim_controller.hpp
+++ b/include/tillerhall/node/claim_controller.hpp
@@ -1,6 +1,7 @@
 /** @file At most once for keyed calls, by claims in the table service. */
 #pragma once
 
+#include "tillerhall/http/relay.hpp"
 #include "tillerhall/node/mesh_state.hpp"
 #include "tillerhall/platform/table_service.hpp"
 #include "tillerhall/routing/claim_shard.hpp"
@@ -16,14 +17,6 @@
 namespace tillerhall
 {
 
-/** A target's answer, kept to be given again. */
-struct kept_answer
-{
-    unsigned status = 0;
-    std::string content_type;
-    std::string body;
-};
-
 /** What becomes of a keyed call. */
 enum class claim_verdict
 {
@@ -35,6 +28,8 @@
     store_down ///< nothing was claimed
 };
 
+std::string_view name_of(claim_verdict verdict) noexcept;
+
 /** The answer to a claim. */
 struct claim_answer
 {
--- a/include/tillerhall/node/entry_proxy.hpp
+++ b/include/tillerhall/node/entry_proxy.hpp
@@ -1,6 +1,7 @@
 /** @file The entry's side of a call: choosing, passing on, retrying. */
 #pragma once
 
+#include "tillerhall/node/claim_controller.hpp"
 #include "tillerhall/node/owner_proxy.hpp"
 #include "tillerhall/routing/target_board.hpp"
 
@@ -16,11 +17,14 @@
     /** Told of nodes that could not be reached; called on any worker. */
     using unreachable = std::function<void(const address&)>;
 
+    /** @param claims lives on the worker @p first */
     entry_proxy(const settings& config,
                 blackboard& board,
                 target_board& targets,
                 owner_proxy& local,
                 worker& on,
+                worker& first,
+                claim_controller& claims,
                 unreachable report);
 
     /** Serves the calls on a caller's connection. */
@@ -29,6 +33,13 @@
 private:
     void handle(inbound_call& call);
     relay_result pass_on(inbound_call& call, call_context& context);
+    relay_result pass_on_once(inbound_call& call, call_context& context);
+    relay_result try_targets(inbound_call& call, const call_context& context);
+    relay_result answer_claim(inbound_call& call,
+                              const call_context& context,
+                              const claim_answer& claimed);
+    bool must_be_claimed(const inbound_call& call,
+                         const call_context& context) const;
     relay_result attempt(inbound_call& call,
                          const call_context& context,
                          const chosen_target& chosen);
@@ -47,6 +58,8 @@
     blackboard& m_board;
     target_board& m_targets;
     owner_proxy& m_local;
+    worker& m_first;
+    claim_controller& m_claims;
     unreachable m_report;
     stream_pool m_pool;
 };
--- a/src/http/fields.cpp
+++ b/src/http/fields.cpp
@@ -38,8 +38,8 @@
 
 void remove_mesh_fields(http::fields& fields)
 {
-    for (const auto name :
-         {field_name::outcome, field_name::caller, field_name::load})
+    for (const auto name : {field_name::outcome, field_name::caller,
+                            field_name::load, field_name::replay})
         fields.erase(name);
 }
 
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -262,6 +262,11 @@
         if (size != 0 || !has_length)
             response.prepare_payload();
         response.keep_alive(m_call.can_keep_alive());
+        if (m_plan.keep_answer)
+            m_result.kept =
+                kept_answer{response.result_int(),
+                            std::string(response[http::field::content_type]),
+                            response.body()};
         boost::system::error_code failed;
         http::async_write(m_call.stream(), response, await{failed});
         finish(failed);
--- a/src/node/call_context.cpp
+++ b/src/node/call_context.cpp
@@ -1,5 +1,6 @@
 #include "tillerhall/node/call_context.hpp"
 #include "tillerhall/core/await.hpp"
+#include "tillerhall/core/digest.hpp"
 #include "tillerhall/core/random.hpp"
 
 #include <algorithm>
@@ -99,6 +100,27 @@
     return onward;
 }
 
+std::string claim_key_of(const request_head& head, const std::string& caller_ip)
+{
+    const std::string key(head[field_name::idempotency_key]);
+    if (key.find_first_not_of(" \t") == std::string::npos)
+        return {};
+    std::string bound;
+    for (const auto& part :
+         {caller_ip, std::string(head[http::field::authorization]),
+          host_service(head), std::string(head.method_string()),
+          std::string(head.target()), key})
+        bound += std::to_string(part.size()) + ":" + part;
+    return digest_of(bound);
+}
+
+std::string body_digest(const inbound_call& call)
+{
+    const auto length =
+        call.is_whole() ? call.prefix().size() : call.length().value_or(0);
+    return digest_of(call.prefix() + "/" + std::to_string(length));
+}
+
 call_problem problem_of(const relay_result& result)
 {
     auto found = std::ranges::find(end_table, result.end, &end_entry::end);
@@ -116,6 +138,24 @@
     return problem;
 }
 
+void send_replay(inbound_call& call,
+                 const std::string& request_id,
+                 const kept_answer& answer)
+{
+    http::response<http::string_body> response(
+        static_cast<http::status>(answer.status), 11);
+    if (!answer.content_type.empty())
+        response.set(http::field::content_type, answer.content_type);
+    response.set(field_name::replay, "true");
+    response.set(field_name::request_id, request_id);
+    response.body() = answer.body;
+    response.prepare_payload();
+    response.keep_alive(call.can_keep_alive());
+    call.stream().expires_after(problem_timeout);
+    boost::system::error_code ignored;
+    http::async_write(call.stream(), response, await{ignored});
+}
+
 void send_problem(inbound_call& call,
                   const std::string& request_id,
                   const call_problem& problem,
--- a/src/node/claim_controller.cpp
+++ b/src/node/claim_controller.cpp
@@ -77,6 +77,11 @@
 
 } // namespace
 
+std::string_view name_of(claim_verdict verdict) noexcept
+{
+    return verdict_names[static_cast<std::size_t>(verdict)];
+}
+
 /** A claim that waits for its batch; shared by its caller and the writer. */
 struct claim_controller::pending_claim
 {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 #include "tillerhall/core/await.hpp"
 #include "tillerhall/http/listener.hpp"
 #include "tillerhall/node/accept_controller.hpp"
+#include "tillerhall/node/claim_controller.hpp"
 #include "tillerhall/node/entry_proxy.hpp"
 #include "tillerhall/node/operator_api.hpp"
 #include "tillerhall/node/source_controller.hpp"
@@ -80,6 +81,7 @@
         , accepts(mesh, tables, store)
         , target(mesh, membership)
         , operators(mesh, tables, accepts, token)
+        , claims(mesh, tables_service)
     {
     }
 
@@ -103,6 +105,7 @@
     accept_controller accepts;
     target_controller target;
     operator_api operators;
+    claim_controller claims;
 };
 
 } // namespace
@@ -164,6 +167,7 @@
             std::make_unique<control_plane>(config, board, first(), token);
         control->tables.add_methods();
         control->membership.add_methods();
+        control->claims.add_methods();
         control->mesh.routes_changed = [this](const route_view& routes)
         { places.set_limits(limits_for(config, routes)); };
         for (auto& each : workers)
@@ -175,7 +179,8 @@
         on.owner =
             std::make_unique<owner_proxy>(config, board, places, on.runs);
         on.entry = std::make_unique<entry_proxy>(
-            config, board, targets, *on.owner, on.runs,
+            config, board, targets, *on.owner, on.runs, first(),
+            control->claims,
             [this](const address& lost) {
                 first().spawn([this, lost]
                               { control->membership.connect_failed(lost); });
@@ -203,6 +208,7 @@
                 control->target.start();
                 control->source.start();
                 control->membership.start();
+                control->claims.start();
             });
         first().spawn([this] { wait_for_signal(); });
     }
--- a/src/node/owner_proxy.cpp
+++ b/src/node/owner_proxy.cpp
@@ -127,6 +127,7 @@
     plan.deadline = deadline;
     plan.not_run_header = m_config.target_not_run_header;
     plan.request_id = context.request_id;
+    plan.keep_answer = !context.claim_key.empty();
     if (from_peer)
         plan.load = m_places.load();
     auto result = relay_call(call, **stream, plan);
