--- a/apps/tiller/command.hpp
+++ b/apps/tiller/command.hpp
@@ -68,6 +68,8 @@
 int run_nodes(invocation& given);
 int run_targets(invocation& given);
 int run_why(invocation& given);
+int run_report(invocation& given);
+int run_explain(invocation& given);
 int run_completion(invocation& given);
 
 /** Watches @p version until it is in force or the time is over. */
--- a/apps/tiller/fleet.cpp
+++ b/apps/tiller/fleet.cpp
@@ -124,6 +124,63 @@
     return exit_ok;
 }
 
+int run_explain(invocation& given)
+{
+    const auto members = read_members(given);
+    if (!members)
+        return fail(members.reason());
+    json::array found;
+    std::size_t next = 0;
+    const auto ask = [&]
+    {
+        while (next < members->size())
+        {
+            const auto& each = (*members)[next++];
+            const auto node =
+                address::parse(each.at("operators").as_string().c_str());
+            if (!node || each.at("state").as_string() == "dead")
+                continue;
+            const auto answer = given.mesh.ask_one(
+                *node, "/v1/call?id=" + percent_encode(given.arguments[0]));
+            boost::system::error_code failed;
+            const auto body =
+                answer ? json::parse(answer->body, failed) : json::value{};
+            if (!answer || failed || answer->status != 200)
+                continue;
+            for (auto account : body.at("calls").as_array())
+            {
+                account.as_object()["entry"] = each.at("node");
+                found.push_back(std::move(account));
+            }
+        }
+    };
+    run_parallel(std::vector<worker::task>(asked_at_once, ask));
+    if (given.as_json)
+        std::cout << json::serialize(found) << "\n";
+    for (const auto& each : found)
+    {
+        if (given.as_json)
+            break;
+        std::cout << "at entry node " << text(each, "entry") << ": "
+                  << text(each, "service") << " " << text(each, "end")
+                  << " after " << each.at("took_ms").to_number<double>()
+                  << " ms, table version "
+                  << each.at("version").to_number<std::uint64_t>() << "\n";
+        for (const auto& tried : each.at("attempts").as_array())
+            std::cout << "    tried " << text(tried, "node") << " at "
+                      << text(tried, "place") << ": " << text(tried, "end")
+                      << " " << text(tried, "detail") << " ("
+                      << tried.at("took_ms").to_number<double>() << " ms)\n";
+    }
+    if (!found.empty())
+        return exit_ok;
+    fail(error(error_code::not_found,
+               "no node holds an account of call " + given.arguments[0],
+               "each node keeps its last 2048 calls; look into the caller's "
+               "own log for older ones"));
+    return exit_refused;
+}
+
 int run_why(invocation& given)
 {
     const auto subject = given.arguments.empty() ? "" : given.arguments[0];
@@ -155,16 +212,17 @@
                  "    COMPREPLY=($(compgen -W \"";
     for (const auto& each : commands())
         std::cout << each.name << " ";
-    std::cout << "\" -- \"$cur\"))\n"
-                 "  elif [[ $cur == -* ]]; then\n"
-                 "    COMPREPLY=($(compgen -W \"--node --token-file --json "
-                 "--accept-id --base --rebase --watch --timeout --limit "
-                 "--author --add --remove --help\" -- \"$cur\"))\n"
-                 "  else\n"
-                 "    COMPREPLY=($(compgen -f -- \"$cur\"))\n"
-                 "  fi\n"
-                 "}\n"
-                 "complete -F _tiller tiller\n";
+    std::cout
+        << "\" -- \"$cur\"))\n"
+           "  elif [[ $cur == -* ]]; then\n"
+           "    COMPREPLY=($(compgen -W \"--node --token-file --json "
+           "--accept-id --base --rebase --watch --timeout --limit "
+           "--author --add --remove --service --html --help\" -- \"$cur\"))\n"
+           "  else\n"
+           "    COMPREPLY=($(compgen -f -- \"$cur\"))\n"
+           "  fi\n"
+           "}\n"
+           "complete -F _tiller tiller\n";
     return exit_ok;
 }
 
--- a/apps/tiller/main.cpp
+++ b/apps/tiller/main.cpp
@@ -40,6 +40,12 @@
             "tiller targets", 0, 0, run_targets},
     command{"why", "[SUBJECT]", "show what a node decided and why",
             "tiller why perceel --node 10.0.0.5:7400", 0, 1, run_why},
+    command{"explain", "REQUEST_ID",
+            "show what became of a call, from the nodes that took it",
+            "tiller explain 4f1c22", 1, 1, run_explain},
+    command{"report", "burn", "service-level burn of all services and places",
+            "tiller report burn --service perceel --html burn.html", 1, 1,
+            run_report},
     command{"completion", "", "print a bash completion script",
             "source <(tiller completion)", 0, 0, run_completion},
 };
@@ -63,7 +69,10 @@
         cxxopts::value<double>()->default_value("60"))(
         "limit", "versions to list",
         cxxopts::value<unsigned>()->default_value("20"))(
-        "author", "who accepts", cxxopts::value<std::string>())(
+        "service", "only this service", cxxopts::value<std::string>())(
+        "html", "write the report as a page to this file",
+        cxxopts::value<std::string>())("author", "who accepts",
+                                       cxxopts::value<std::string>())(
         "add", "make the row if there is none")("remove", "drop the row")(
         "h,help", "show this")("arguments", "",
                                cxxopts::value<std::vector<std::string>>());
--- a/apps/tillerd.cpp
+++ b/apps/tillerd.cpp
@@ -44,6 +44,42 @@
               << std::endl;
 }
 
+/** @return how the value of a setting is shown in docs/SETTINGS.md. */
+struct shown_default
+{
+    const settings& from;
+
+    std::string operator()(std::string settings::*field) const
+    {
+        return from.*field;
+    }
+    std::string operator()(std::int64_t settings::*field) const
+    {
+        return std::to_string(from.*field);
+    }
+    std::string operator()(address settings::*) const { return ""; }
+    std::string operator()(std::vector<address> settings::*) const
+    {
+        return "[]";
+    }
+};
+
+/** Prints the table of docs/SETTINGS.md. */
+void list_settings()
+{
+    const settings defaults;
+    std::cout << "| setting | default | range | meaning |\n|---|---|---|---|\n";
+    for (const auto& each : setting_table())
+    {
+        const auto shown = std::visit(shown_default{defaults}, each.into);
+        std::cout << "| `" << each.path << "` | "
+                  << (each.required ? "required" : shown) << " | ";
+        if (each.most != 0)
+            std::cout << each.least << " to " << each.most;
+        std::cout << " | " << each.help << " |\n";
+    }
+}
+
 int run(const std::string& path, bool check_only)
 {
     auto outcome = load_settings(path);
@@ -83,11 +119,16 @@
     cxxopts::Options options("tillerd", "A tillerhall node.");
     options.add_options()("c,config", "settings file (YAML)",
                           cxxopts::value<std::string>())(
-        "check-config",
-        "check the settings and exit: 0 good, 2 bad")("h,help", "show this");
+        "check-config", "check the settings and exit: 0 good, 2 bad")(
+        "list-settings", "print every setting and exit")("h,help", "show this");
     try
     {
         const auto given = options.parse(argc, argv);
+        if (given.count("list-settings") != 0)
+        {
+            list_settings();
+            return 0;
+        }
         if (given.count("help") != 0 || given.count("config") == 0)
         {
             std::cout << options.help();
--- a/benchmark/claims.cpp
+++ b/benchmark/claims.cpp
@@ -69,11 +69,9 @@
             {"store_reads_s",
              (counts ? counts->at("reads").to_number<double>() : -1) /
                  keyed->seconds},
-            {"plain_p99_ms", plain->from_schedule.quantile(0.99)},
-            {"added_p50_ms", keyed->from_schedule.quantile(0.5) -
-                                 plain->from_schedule.quantile(0.5)},
-            {"added_p99_ms", keyed->from_schedule.quantile(0.99) -
-                                 plain->from_schedule.quantile(0.99)},
+            {"plain_p99_ms", plain->latency(0.99)},
+            {"added_p50_ms", keyed->latency(0.5) - plain->latency(0.5)},
+            {"added_p99_ms", keyed->latency(0.99) - plain->latency(0.99)},
             {"calls", keyed->sent},
             {"good", keyed->good},
             {"refused", verdict.refused},
--- a/benchmark/demo.cpp
+++ b/benchmark/demo.cpp
@@ -43,6 +43,7 @@
         call_everywhere();
         edit_and_accept();
         check_calls_obey();
+        slow_target_shows();
         kill_and_restart();
         const auto end = sample_fleet(m_system);
         return finish(begin, end);
@@ -163,6 +164,31 @@
         expect(served_there == 0, "calls obey the edited weight");
     }
 
+    /** One target made slow must be named by the burn report. */
+    void slow_target_shows()
+    {
+        const auto& slow = m_system.nodes()[1];
+        say("making the target of " + slow.place.service + " at " +
+            slow.place.domain + " slow");
+        for (std::size_t i = 0; i < m_system.nodes().size(); ++i)
+            if (m_system.nodes()[i].place.service == slow.place.service &&
+                m_system.nodes()[i].place.domain == slow.place.domain)
+                m_system.set_target(i, {{"service_ms", 120}});
+        caller from(m_worker.io(), m_system.nodes().front().caller);
+        constexpr int calls = 40;
+        for (int i = 0; i < calls; ++i)
+            call(from, slow.place.service);
+        const auto shown = tiller({"report", "burn"});
+        std::istringstream lines(shown);
+        std::string first;
+        std::getline(lines, first); // the header; the worst row comes next
+        std::getline(lines, first);
+        expect(first.find(slow.place.service) != std::string::npos &&
+                   first.find(slow.place.domain) != std::string::npos &&
+                   first.find("page") != std::string::npos,
+               "the burn report names the slow service and place");
+    }
+
     void kill_and_restart()
     {
         const auto index = m_system.nodes().size() - 1;
@@ -226,7 +252,11 @@
 {
     const auto nodes = options["nodes"].as<std::size_t>();
     const auto name = options["profile"].as<std::string>();
-    return demo(on, harness::profile(name, nodes)).run();
+    auto built = harness::profile(name, nodes);
+    for (const auto& each : built.placements)
+        built.settings["objectives." + each.service] =
+            "{answered_percent: 99.9, within_ms: 60}";
+    return demo(on, built).run();
 }
 
 } // namespace tillerhall::bench
--- a/benchmark/load.cpp
+++ b/benchmark/load.cpp
@@ -72,7 +72,7 @@
                 if (outcome.is_good())
                 {
                     ++result->good;
-                    result->from_schedule.record(took.count());
+                    result->latencies_ms.push_back(took.count());
                 }
                 if (ledger != nullptr)
                     ledger->note(call.id, outcome);
--- a/benchmark/load.hpp
+++ b/benchmark/load.hpp
@@ -3,8 +3,9 @@
 
 #include "call_ledger.hpp"
 
+#include "experiment.hpp"
+
 #include "tillerhall/core/worker.hpp"
-#include "tillerhall/observe/latency_histogram.hpp"
 
 #include <functional>
 #include <memory>
@@ -27,10 +28,13 @@
 /** What the load met. */
 struct load_result
 {
-    latency_histogram from_schedule; ///< from when each call was due
+    std::vector<double> latencies_ms; ///< of good calls, from when each was due
     std::int64_t sent = 0;
     std::int64_t good = 0;
     double seconds = 0;
+
+    /** @return the latency below which @p share of the good calls lie. */
+    double latency(double share) const { return quantile(latencies_ms, share); }
 };
 
 /**
--- a/benchmark/requests.cpp
+++ b/benchmark/requests.cpp
@@ -19,6 +19,9 @@
 
 constexpr const char* service = "oogstbeurs";
 constexpr std::size_t target_count = 6;
+// Small targets, so that twice their capacity is little for the machine.
+constexpr std::int64_t overload_slots = 4;
+constexpr std::int64_t overload_service_ms = 20;
 
 /** Six targets in one place, one of them slow on request, and an entry. */
 harness::cluster_options six_targets(const std::string& policy)
@@ -71,6 +74,8 @@
         m_system.set_target(0, {{"service_ms", 50}});
         const auto slow = load(m_rate, m_length, mesh(), nullptr);
         m_system.set_target(0, {{"service_ms", 2}});
+        m_retries = retries();
+        overload(table);
         return describe(*straight, *through, *slow, verdict);
     }
 
@@ -106,6 +111,32 @@
         return run_load(m_worker, plan, ledger);
     }
 
+    /** Offers twice what the targets can do. */
+    void overload(const std::string& csv)
+    {
+        std::vector<row> rows;
+        const auto table = read_csv(csv).parsed.table;
+        for (auto each : table.rows())
+        {
+            each.max_in_flight = overload_slots;
+            each.queue = 2 * overload_slots;
+            rows.push_back(each);
+        }
+        m_system.accept(0, write_csv(config_table(rows)), 1, "overload");
+        m_system.wait_for_version(2);
+        for (std::size_t i = 0; i < target_count; ++i)
+            m_system.set_target(i, {{"service_ms", overload_service_ms}});
+        constexpr double capacity = static_cast<double>(
+            target_count * overload_slots * 1000 / overload_service_ms);
+        const double retries_before = retries();
+        const auto load_met = load(2 * capacity, m_length, mesh(), nullptr);
+        m_overload_goodput =
+            static_cast<double>(load_met->good) / load_met->seconds / capacity;
+        m_overload_retries =
+            (retries() - retries_before) / static_cast<double>(load_met->sent);
+        m_overload_p99_ms = load_met->latency(0.99);
+    }
+
     /** Resets, a killed owner and a drained target, during the load. */
     void disturb()
     {
@@ -125,10 +156,7 @@
                           const ledger_verdict& verdict)
     {
         const auto added = [&](double share)
-        {
-            return through.from_schedule.quantile(share) -
-                   straight.from_schedule.quantile(share);
-        };
+        { return through.latency(share) - straight.latency(share); };
         std::int64_t over = 0;
         std::int64_t most = 0;
         for (std::size_t i = 0; i < target_count; ++i)
@@ -144,17 +172,17 @@
         return {
             {"name", m_policy},
             {"is_default", m_policy == policies().front()->name()},
-            {"direct_p50_ms", straight.from_schedule.quantile(0.5)},
-            {"direct_p99_ms", straight.from_schedule.quantile(0.99)},
+            {"direct_p50_ms", straight.latency(0.5)},
+            {"direct_p99_ms", straight.latency(0.99)},
             {"added_p50_ms", added(0.5)},
             {"added_p99_ms", added(0.99)},
             {"added_p999_ms", added(0.999)},
-            {"slow_target_p99_ms", slow.from_schedule.quantile(0.99)},
+            {"slow_target_p99_ms", slow.latency(0.99)},
             {"goodput_share", static_cast<double>(through.good) /
                                   static_cast<double>(through.sent)},
             {"refused", verdict.refused},
             {"unknown", verdict.unknown},
-            {"retries_per_call", retries() / static_cast<double>(through.sent)},
+            {"retries_per_call", m_retries / static_cast<double>(through.sent)},
             {"doubled", verdict.doubled},
             {"wrong", verdict.wrong},
             {"not_run_that_ran", verdict.not_run_that_ran},
@@ -183,6 +211,10 @@
     bool m_faults;
     harness::cluster m_system;
     int m_loads = 0;
+    double m_retries = 0;
+    double m_overload_goodput = 0;
+    double m_overload_retries = 0;
+    double m_overload_p99_ms = 0;
 };
 
 } // namespace
--- a/benchmark/tiller_bench.cpp
+++ b/benchmark/tiller_bench.cpp
@@ -26,6 +26,8 @@
     experiment{"drain", "a node leaves under load", run_drain},
     experiment{"claims", "keyed calls: claims a second and their writes",
                run_claims},
+    experiment{"slopes", "how state, messages, time and memory grow",
+               run_slopes},
     experiment{"faults", "random faults with the promises watched", run_faults},
 };
 
@@ -56,6 +58,8 @@
         cxxopts::value<double>()->default_value("10"))(
         "policy", "a policy's name, or all",
         cxxopts::value<std::string>()->default_value("all"))(
+        "output", "file for the points of slopes",
+        cxxopts::value<std::string>()->default_value("slopes.csv"))(
         "faults", "cause faults meanwhile")("h,help", "show this");
     return options;
 }
--- a/include/tillerhall/core/time.hpp
+++ b/include/tillerhall/core/time.hpp
@@ -16,6 +16,9 @@
  */
 std::int64_t wall_clock_us() noexcept;
 
+/** @return whole minutes of wall time since 1970. */
+std::int64_t wall_clock_minute() noexcept;
+
 /** @return @p span in whole milliseconds, rounded down. */
 inline std::int64_t to_ms(duration span) noexcept
 {
--- a/include/tillerhall/node/blackboard.hpp
+++ b/include/tillerhall/node/blackboard.hpp
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "tillerhall/core/published.hpp"
+#include "tillerhall/node/call_log.hpp"
 #include "tillerhall/node/journal.hpp"
 #include "tillerhall/node/pulse.hpp"
+#include "tillerhall/observe/burn_tracker.hpp"
 #include "tillerhall/observe/metrics.hpp"
 #include "tillerhall/observe/traffic.hpp"
 #include "tillerhall/routing/route_view.hpp"
@@ -48,6 +50,8 @@
 
     metrics_registry metrics;
     traffic_counters traffic;
+    burn_tracker burn;
+    call_log calls;
     journal decisions;
 };
 
--- a/include/tillerhall/node/call_context.hpp
+++ b/include/tillerhall/node/call_context.hpp
@@ -4,6 +4,7 @@
 #include "tillerhall/core/time.hpp"
 #include "tillerhall/http/fields.hpp"
 #include "tillerhall/http/relay.hpp"
+#include "tillerhall/node/call_log.hpp"
 
 #include <string>
 
@@ -17,9 +18,10 @@
     std::string request_id;
     std::string caller; ///< the calling service, or an IP number
     time_point start;
-    time_point deadline;     ///< the caller's own, if it gave one
-    bool repeatable = false; ///< by its method; a row may allow more
-    std::string claim_key;   ///< digest of a key that must be claimed, or empty
+    time_point deadline;                ///< the caller's own, if it gave one
+    bool repeatable = false;            ///< by its method; a row may allow more
+    std::vector<call_attempt> attempts; ///< for the account of the call
+    std::string claim_key; ///< digest of a key that must be claimed, or empty
 };
 
 /** Reads the context; a request id is made if there is none to keep. */
--- a/include/tillerhall/node/distribution_controller.hpp
+++ b/include/tillerhall/node/distribution_controller.hpp
@@ -70,7 +70,6 @@
     bool pull_whole(const address& peer);
 
     watch_report watch_range(std::uint64_t version, const key_range& range);
-    watch_report watch_part(std::uint64_t version, const range_part& part);
     watch_report unreachable(const key_range& range);
 
     mesh_state& m_mesh;
--- a/include/tillerhall/node/entry_proxy.hpp
+++ b/include/tillerhall/node/entry_proxy.hpp
@@ -34,7 +34,7 @@
     void handle(inbound_call& call);
     relay_result pass_on(inbound_call& call, call_context& context);
     relay_result pass_on_once(inbound_call& call, call_context& context);
-    relay_result try_targets(inbound_call& call, const call_context& context);
+    relay_result try_targets(inbound_call& call, call_context& context);
     relay_result answer_claim(inbound_call& call,
                               const call_context& context,
                               const claim_answer& claimed);
@@ -52,6 +52,11 @@
                        const row& limits,
                        const relay_result& result);
     void count(const call_context& context, const relay_result& result);
+
+    /** @return why the call misses its service's objective, empty if not. */
+    std::string burn_cause(const call_context& context,
+                           const relay_result& result,
+                           double took_ms) const;
     std::string caller_name(tcp_stream& stream) const;
 
     const settings& m_config;
--- a/include/tillerhall/node/operator_api.hpp
+++ b/include/tillerhall/node/operator_api.hpp
@@ -3,6 +3,7 @@
 
 #include "tillerhall/http/api_server.hpp"
 #include "tillerhall/node/accept_controller.hpp"
+#include "tillerhall/node/burn_controller.hpp"
 #include "tillerhall/node/membership_controller.hpp"
 
 #include <string>
@@ -19,6 +20,7 @@
     operator_api(mesh_state& mesh,
                  distribution_controller& tables,
                  accept_controller& accepts,
+                 burn_controller& burn,
                  std::string token);
 
     http_response answer(const http_request& request);
@@ -47,6 +49,8 @@
     http_response watch(const http_request& request);
     http_response members(const http_request& request);
     http_response journal_entries(const http_request& request);
+    http_response burn_report(const http_request& request);
+    http_response call_account(const http_request& request);
 
     bool is_authorized(const http_request& request) const;
     void refresh_gauges();
@@ -54,6 +58,7 @@
     mesh_state& m_mesh;
     distribution_controller& m_tables;
     accept_controller& m_accepts;
+    burn_controller& m_burn;
     std::string m_token;
 };
 
--- a/include/tillerhall/node/settings.hpp
+++ b/include/tillerhall/node/settings.hpp
@@ -3,7 +3,10 @@
 
 #include "tillerhall/core/address.hpp"
 
+#include "tillerhall/observe/objective.hpp"
+
 #include <cstdint>
+#include <map>
 #include <span>
 #include <string>
 #include <variant>
@@ -52,6 +55,9 @@
 
     std::string policy = "two_choices";
 
+    /** By service; a service without one has the default. */
+    std::map<std::string, objective> objectives;
+
     std::string token_file;
     std::string log_level = "info";
 };
--- a/include/tillerhall/observe/latency_histogram.hpp
+++ b/include/tillerhall/observe/latency_histogram.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -28,6 +29,12 @@
 
     std::uint64_t count() const;
 
+    /** @return the counts of the buckets that are not empty, by index. */
+    std::map<int, std::uint64_t> sparse() const;
+
+    /** Adds counts that `sparse` gave, perhaps on another node. */
+    void add(const std::map<int, std::uint64_t>& counts);
+
     /** Appends Prometheus lines for a histogram called @p name. */
     void write(std::string& into,
                const std::string& name,
--- a/src/core/time.cpp
+++ b/src/core/time.cpp
@@ -11,4 +11,10 @@
         .count();
 }
 
+std::int64_t wall_clock_minute() noexcept
+{
+    constexpr std::int64_t minute_us = 60'000'000;
+    return wall_clock_us() / minute_us;
+}
+
 } // namespace tillerhall
--- a/src/node/claim_controller.cpp
+++ b/src/node/claim_controller.cpp
@@ -31,12 +31,6 @@
     "granted",     "other_body",   "in_progress",
     "already_ran", "may_have_run", "store_down"};
 
-std::int64_t this_minute()
-{
-    constexpr std::int64_t minute_us = 60'000'000;
-    return wall_clock_us() / minute_us;
-}
-
 std::size_t shard_of(const std::string& key)
 {
     return stable_hash(key) % claim_controller::shard_count;
@@ -277,7 +271,7 @@
 claim_controller::judge(const claim_shard& shard,
                         const pending_claim& asked) const
 {
-    const auto* known = shard.find(asked.wanted.key, this_minute());
+    const auto* known = shard.find(asked.wanted.key, wall_clock_minute());
     if (known == nullptr || m_abandoned.contains(known->nonce))
         return std::nullopt;
     auto state = known->state;
@@ -319,7 +313,7 @@
         return false;
     }
     m_ended.erase(asked->wanted.key); // released: claimed anew
-    shard->put(asked->wanted, this_minute());
+    shard->put(asked->wanted, wall_clock_minute());
     return true;
 }
 
@@ -330,12 +324,12 @@
         auto* shard = loaded_shard(shard_of(key));
         if (shard == nullptr)
             continue;
-        const auto* known = shard->find(key, this_minute());
+        const auto* known = shard->find(key, wall_clock_minute());
         if (known == nullptr || known->state == ended.state)
             continue;
         auto changed = *known;
         changed.state = ended.state;
-        shard->put(changed, this_minute());
+        shard->put(changed, wall_clock_minute());
     }
 }
 
--- a/src/node/entry_proxy.cpp
+++ b/src/node/entry_proxy.cpp
@@ -82,6 +82,13 @@
     return milliseconds(most.limits.timeout_ms);
 }
 
+double milliseconds_since(time_point start)
+{
+    const std::chrono::duration<double, std::milli> took =
+        steady_clock::now() - start;
+    return took.count();
+}
+
 std::string_view name_of(relay_end end)
 {
     return end_names[static_cast<std::size_t>(end)];
@@ -270,8 +277,7 @@
     return result;
 }
 
-relay_result entry_proxy::try_targets(inbound_call& call,
-                                      const call_context& context)
+relay_result entry_proxy::try_targets(inbound_call& call, call_context& context)
 {
     relay_result result;
     result.end = relay_end::not_run;
@@ -297,7 +303,12 @@
                 .get("tillerhall_retries_total",
                      "service=\"" + context.service + "\"")
                 .add();
+        const auto begin = steady_clock::now();
         result = attempt(call, context, *chosen);
+        context.attempts.push_back({chosen->owner.rpc.text(),
+                                    chosen->owner.place.domain,
+                                    std::string(name_of(result.end)),
+                                    result.detail, milliseconds_since(begin)});
         if (!may_try_again(call, context, chosen->limits, result))
             return result;
         tried.push_back(chosen->owner.rpc);
@@ -375,17 +386,40 @@
 void entry_proxy::count(const call_context& context, const relay_result& result)
 {
     const auto service = "service=\"" + context.service + "\"";
-    if (result.status == 404)
+    if (result.status == 404 && result.end == relay_end::not_run)
         return m_board.metrics.get("tillerhall_unknown_service_total").add();
+    const std::string end(name_of(result.end));
     m_board.metrics
-        .get("tillerhall_calls_total",
-             service + ",outcome=\"" + std::string(name_of(result.end)) + "\"")
+        .get("tillerhall_calls_total", service + ",outcome=\"" + end + "\"")
         .add();
-    const std::chrono::duration<double, std::milli> took =
-        steady_clock::now() - context.start;
+    const double took = milliseconds_since(context.start);
     if (result.end == relay_end::answered)
-        m_board.metrics.histogram("tillerhall_call_ms", service)
-            .record(took.count());
+        m_board.metrics.histogram("tillerhall_call_ms", service).record(took);
+    const auto version = m_board.routes.get()->version();
+    const auto place =
+        context.attempts.empty() ? "-" : context.attempts.back().place;
+    if (result.end != relay_end::caller_gone)
+        m_board.burn.record({context.service, place},
+                            burn_cause(context, result, took), took, version,
+                            wall_clock_minute());
+    m_board.calls.note({context.request_id, context.service, end,
+                        wall_clock_us(), version, took, context.attempts});
+}
+
+std::string entry_proxy::burn_cause(const call_context& context,
+                                    const relay_result& result,
+                                    double took_ms) const
+{
+    constexpr unsigned server_errors = 500;
+    const auto found = m_config.objectives.find(context.service);
+    const auto goal =
+        found == m_config.objectives.end() ? objective{} : found->second;
+    if (result.end != relay_end::answered)
+        return result.detail.empty() ? std::string(name_of(result.end))
+                                     : result.detail;
+    if (result.status >= server_errors)
+        return "status " + std::to_string(result.status);
+    return took_ms > goal.within_ms ? "slower than the objective" : "";
 }
 
 } // namespace tillerhall
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 #include "tillerhall/core/await.hpp"
 #include "tillerhall/http/listener.hpp"
 #include "tillerhall/node/accept_controller.hpp"
+#include "tillerhall/node/burn_controller.hpp"
 #include "tillerhall/node/claim_controller.hpp"
 #include "tillerhall/node/entry_proxy.hpp"
 #include "tillerhall/node/operator_api.hpp"
@@ -80,7 +81,8 @@
         , source(mesh, tables, membership, store, hosts)
         , accepts(mesh, tables, store)
         , target(mesh, membership)
-        , operators(mesh, tables, accepts, token)
+        , burn(mesh)
+        , operators(mesh, tables, accepts, burn, token)
         , claims(mesh, tables_service)
     {
     }
@@ -104,6 +106,7 @@
     source_controller source;
     accept_controller accepts;
     target_controller target;
+    burn_controller burn;
     operator_api operators;
     claim_controller claims;
 };
@@ -168,6 +171,7 @@
         control->tables.add_methods();
         control->membership.add_methods();
         control->claims.add_methods();
+        control->burn.add_methods();
         control->mesh.routes_changed = [this](const route_view& routes)
         { places.set_limits(limits_for(config, routes)); };
         for (auto& each : workers)
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -195,10 +195,12 @@
 operator_api::operator_api(mesh_state& mesh,
                            distribution_controller& tables,
                            accept_controller& accepts,
+                           burn_controller& burn,
                            std::string token)
     : m_mesh(mesh)
     , m_tables(tables)
     , m_accepts(accepts)
+    , m_burn(burn)
     , m_token(std::move(token))
 {
 }
@@ -219,6 +221,8 @@
         route{"GET", "/v1/watch", &operator_api::watch, open},
         route{"GET", "/v1/members", &operator_api::members, open},
         route{"GET", "/v1/journal", &operator_api::journal_entries, open},
+        route{"GET", "/v1/burn", &operator_api::burn_report, open},
+        route{"GET", "/v1/call", &operator_api::call_account, open},
     };
     return table;
 }
@@ -465,4 +469,32 @@
     return respond(200, json::object{{"entries", std::move(list)}});
 }
 
+http_response operator_api::burn_report(const http_request&)
+{
+    return respond(200, m_burn.report());
+}
+
+http_response operator_api::call_account(const http_request& request)
+{
+    json::array list;
+    for (const auto& each : m_mesh.board.calls.find(request.param("id")))
+    {
+        json::array attempts;
+        for (const auto& tried : each.attempts)
+            attempts.push_back(json::object{{"node", tried.node},
+                                            {"place", tried.place},
+                                            {"end", tried.end},
+                                            {"detail", tried.detail},
+                                            {"took_ms", tried.took_ms}});
+        list.push_back(json::object{{"time_us", each.time_us},
+                                    {"request_id", each.request_id},
+                                    {"service", each.service},
+                                    {"end", each.end},
+                                    {"version", each.version},
+                                    {"took_ms", each.took_ms},
+                                    {"attempts", std::move(attempts)}});
+    }
+    return respond(200, json::object{{"calls", std::move(list)}});
+}
+
 } // namespace tillerhall
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -4,6 +4,7 @@
 #include "tillerhall/routing/policy.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <fstream>
 #include <set>
@@ -15,6 +16,8 @@
 namespace
 {
 
+constexpr std::string_view objectives_section = "objectives";
+
 /** Reads one file's nodes into settings and collects what is wrong. */
 class settings_reader
 {
@@ -64,11 +67,73 @@
             return fail(mark, error_code::bad_syntax,
                         "section \"" + name + "\" is not a mapping",
                         "write its keys below it, indented");
+        if (name == objectives_section)
+            return read_objectives(section);
         for (const auto& each : section)
             read_setting(name + "." + each.first.as<std::string>(),
                          each.first.Mark(), each.second);
     }
 
+    /** Reads "SERVICE: {answered_percent: 99.9, within_ms: 50}". */
+    void read_objectives(const YAML::Node& section)
+    {
+        for (const auto& each : section)
+        {
+            const auto service = each.first.as<std::string>();
+            auto& goal = m_outcome.read.objectives[service];
+            if (!each.second.IsMap())
+            {
+                fail(each.first.Mark(), error_code::bad_syntax,
+                     "objectives." + service + " is not a mapping",
+                     "write {answered_percent: 99.9, within_ms: 50}");
+                continue;
+            }
+            for (const auto& part : each.second)
+                read_goal(service, goal, part.first, part.second);
+        }
+    }
+
+    void read_goal(const std::string& service,
+                   objective& goal,
+                   const YAML::Node& key,
+                   const YAML::Node& value)
+    {
+        struct goal_entry
+        {
+            std::string_view name;
+            double objective::*field;
+            double least;
+            double most;
+        };
+        constexpr std::array table{
+            goal_entry{"answered_percent", &objective::answered_percent, 0,
+                       99.9999},
+            goal_entry{"within_ms", &objective::within_ms, 0.1, 3'600'000}};
+        const auto name = key.as<std::string>();
+        const auto found = std::ranges::find(table, name, &goal_entry::name);
+        if (found == table.end())
+            return fail(key.Mark(), error_code::unknown_name,
+                        "unknown key objectives." + service + "." + name,
+                        "use answered_percent or within_ms");
+        try
+        {
+            const auto number = value.as<double>();
+            if (number >= found->least && number <= found->most)
+            {
+                goal.*found->field = number;
+                return;
+            }
+        }
+        catch (const YAML::Exception&)
+        {
+            // told below, as for a number out of range
+        }
+        fail(key.Mark(), error_code::out_of_range,
+             "objectives." + service + "." + name + " does not fit",
+             "write a number from " + std::to_string(found->least) + " to " +
+                 std::to_string(found->most));
+    }
+
     void read_setting(const std::string& path,
                       const YAML::Mark& mark,
                       const YAML::Node& value)
--- a/src/node/watch.cpp
+++ b/src/node/watch.cpp
@@ -1,19 +1,14 @@
 /** @file The watching part of the distribution controller. */
 #include "tillerhall/node/distribution_controller.hpp"
+#include "tillerhall/node/range_query.hpp"
 
 #include <boost/json.hpp>
 
 namespace tillerhall
 {
-namespace
-{
 
 namespace json = boost::json;
 
-constexpr milliseconds watch_timeout(2000);
-
-} // namespace
-
 watch_report distribution_controller::watch(std::uint64_t version)
 {
     auto report = watch_range(version, key_range{});
@@ -32,40 +27,14 @@
     report.greatest_version = m_gate.greatest_seen();
     report.count(self.place.domain, self.rpc.text(),
                  current()->version() >= version);
-    const auto parts = split_range(
-        range, m_mesh.members, static_cast<std::size_t>(m_mesh.config.fanout),
-        m_mesh.random);
-    std::vector<worker::task> asks;
-    for (const auto& part : parts)
-        asks.emplace_back([this, version, &part, &report]
-                          { report.add(watch_part(version, part)); });
-    run_parallel(std::move(asks));
+    ask_range(
+        m_mesh, {method::watch, traffic_kind::watch, {{"v", version}}}, range,
+        [&](const json::object& answer)
+        { report.add(watch_report_from_json(answer)); },
+        [&](const key_range& missing) { report.add(unreachable(missing)); });
     return report;
 }
 
-watch_report distribution_controller::watch_part(std::uint64_t version,
-                                                 const range_part& part)
-{
-    json::object params{{"v", version}};
-    put_range(params, part.range);
-    for (const auto& each : part.candidates)
-    {
-        const auto answer = m_mesh.pool.call(
-            {each, traffic_kind::watch, method::watch, params, watch_timeout});
-        if (!answer)
-            continue;
-        try
-        {
-            return watch_report_from_json(*answer);
-        }
-        catch (const std::exception&)
-        {
-            continue;
-        }
-    }
-    return unreachable(part.range);
-}
-
 watch_report distribution_controller::unreachable(const key_range& range)
 {
     watch_report report;
--- a/src/observe/latency_histogram.cpp
+++ b/src/observe/latency_histogram.cpp
@@ -82,6 +82,30 @@
     return above + share * static_cast<double>(m_state->at(bucket));
 }
 
+std::map<int, std::uint64_t> latency_histogram::sparse() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<int, std::uint64_t> counts;
+    for (int i = 0; i < static_cast<int>(buckets); ++i)
+        if (const auto here = m_state->at(i); here != 0)
+            counts[i] = here;
+    return counts;
+}
+
+void latency_histogram::add(const std::map<int, std::uint64_t>& counts)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [bucket, count] : counts)
+    {
+        if (bucket < 0 || bucket >= static_cast<int>(buckets))
+            continue;
+        const auto middle = m_state->values.axis().bin(bucket).center();
+        m_state->values(middle, bh::weight(count));
+        m_state->count += count;
+        m_state->sum += middle * static_cast<double>(count);
+    }
+}
+
 std::uint64_t latency_histogram::count() const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/integration/command_line.cpp
+++ b/tests/integration/command_line.cpp
@@ -221,6 +221,55 @@
     }
 }
 
+TEST_CASE("docs/SETTINGS.md lists the settings there are")
+{
+    const std::filesystem::path root =
+        std::filesystem::path(program_folder()).parent_path();
+    std::ifstream file(root / "docs" / "SETTINGS.md");
+    const std::string page((std::istreambuf_iterator<char>(file)), {});
+    const auto listed = run({program_folder() + "/tillerd", "--list-settings"});
+    CHECK(listed.out.size() > 1000);
+    CHECK_THAT(page, Catch::Contains(listed.out));
+}
+
+TEST_CASE("the burn report and the account of a call tell what happened")
+{
+    on_worker(
+        [](worker& on)
+        {
+            operator_desk desk(on);
+            caller from(on.io(), desk.system.nodes()[0].caller);
+            for (int i = 0; i < 20; ++i)
+                CHECK(from.call({"perceel", "well-" + std::to_string(i)})
+                          .is_good());
+            desk.system.set_target(0, {{"fail", 1}});
+            for (int i = 0; i < 20; ++i)
+                from.call({"perceel", "bad-" + std::to_string(i)});
+            const auto text = desk.tiller({"report", "burn"});
+            CHECK(text.code == 0);
+            CHECK_THAT(text.out, Catch::Contains("perceel") &&
+                                     Catch::Contains("page") &&
+                                     Catch::Contains("status 500") &&
+                                     Catch::Contains("version 1"));
+            const auto other = desk.tiller(
+                {"report", "burn", "--service", "schuur", "--json"});
+            CHECK(other.out == "[]\n");
+            const auto path = desk.system.folder() + "/burn.html";
+            CHECK(desk.tiller({"report", "burn", "--html", path}).code == 0);
+            std::ifstream file(path);
+            const std::string page((std::istreambuf_iterator<char>(file)), {});
+            CHECK_THAT(page, Catch::Contains("<svg") &&
+                                 Catch::Contains("perceel") &&
+                                 !Catch::Contains("http://"));
+            const auto account = desk.tiller({"explain", "bad-3"});
+            CHECK(account.code == 0);
+            CHECK_THAT(account.out,
+                       Catch::Contains("tried") && Catch::Contains("polder-a"));
+            CHECK(desk.tiller({"explain", "never"}).code == 1);
+            CHECK(desk.tiller({"report", "weather"}).code == 2);
+        });
+}
+
 TEST_CASE("the daemon checks its settings: exit 2 for bad ones, 0 for ours")
 {
     const auto program = program_folder() + "/tillerd";
