--- a/benchmark/requests.cpp
+++ b/benchmark/requests.cpp
@@ -69,7 +69,13 @@
         call_ledger ledger;
         if (m_faults)
             m_worker.spawn([this] { disturb(); });
+        const double entry_before = cpu_s(target_count, target_count + 1);
+        const double owners_before = cpu_s(0, target_count);
         const auto through = load(m_rate, m_length, mesh(), &ledger);
+        const auto calls = static_cast<double>(through->sent);
+        m_entry_us = (cpu_s(target_count, target_count + 1) - entry_before) *
+                     1e6 / calls;
+        m_owner_us = (cpu_s(0, target_count) - owners_before) * 1e6 / calls;
         const auto verdict = ledger.settle(m_system);
         m_system.set_target(0, {{"service_ms", 50}});
         const auto slow = load(m_rate, m_length, mesh(), nullptr);
@@ -177,6 +183,8 @@
             {"added_p50_ms", added(0.5)},
             {"added_p99_ms", added(0.99)},
             {"added_p999_ms", added(0.999)},
+            {"entry_cpu_us_per_call", m_entry_us},
+            {"owner_cpu_us_per_call", m_owner_us},
             {"slow_target_p99_ms", slow.latency(0.99)},
             {"goodput_share", static_cast<double>(through.good) /
                                   static_cast<double>(through.sent)},
@@ -190,6 +198,16 @@
             {"limit_exceeded", over}};
     }
 
+    /** @return the processor time of nodes @p first up to @p last. */
+    double cpu_s(std::size_t first, std::size_t last)
+    {
+        double sum = 0;
+        for (std::size_t i = first; i < last; ++i)
+            if (m_system.nodes()[i].runs.is_running())
+                sum += m_system.nodes()[i].runs.usage().cpu_s;
+        return sum;
+    }
+
     double retries()
     {
         api_client client(m_worker.io(),
@@ -212,6 +230,8 @@
     harness::cluster m_system;
     int m_loads = 0;
     double m_retries = 0;
+    double m_entry_us = 0;
+    double m_owner_us = 0;
     double m_overload_goodput = 0;
     double m_overload_retries = 0;
     double m_overload_p99_ms = 0;
--- a/include/tillerhall/node/membership_controller.hpp
+++ b/include/tillerhall/node/membership_controller.hpp
@@ -11,6 +11,7 @@
 #include "tillerhall/node/messages.hpp"
 
 #include <map>
+#include <set>
 
 namespace tillerhall
 {
@@ -71,6 +72,7 @@
     void merge_all(const std::vector<member>& records,
                    const char* source,
                    spreading spread);
+    void tell_of_join(const address& joiner);
     void broadcast(const announce_message& message);
     std::vector<address> some_peers(std::size_t count);
 
@@ -79,11 +81,11 @@
     heartbeat_schedule m_schedule;
     suspicion m_suspicion;
     source_freshness m_freshness;
-    token_bucket m_join_news;
     token_bucket m_syncs;
     token_bucket m_refutations;
     std::map<address, std::uint64_t> m_versions_seen;
     std::map<address, std::uint64_t> m_verified; ///< incarnation that answered
+    std::set<address> m_joined; ///< of whom the others will be told
     std::vector<address> m_hints;
     unsigned m_differences_in_row = 0;
 };
--- a/include/tillerhall/node/messages.hpp
+++ b/include/tillerhall/node/messages.hpp
@@ -61,13 +61,20 @@
     std::set<std::string> places;
 };
 
-/** A member's record on its way to all members in a range. */
+/** Records on their way to all members in a range. */
 struct announce_message
 {
-    member record;
+    std::vector<member> records;
     key_range range;
 };
 
+/** A node that joins, and whether the one it asks shall tell the others. */
+struct join_request
+{
+    member joiner;
+    bool tell_others = false;
+};
+
 /** A version on its way to all members in a range. */
 struct push_message
 {
@@ -111,6 +118,7 @@
 };
 
 boost::json::object to_json(const heartbeat_message& sent);
+boost::json::object to_json(const join_request& sent);
 boost::json::object to_json(const join_answer& sent);
 boost::json::object to_json(const sync_answer& sent);
 boost::json::object to_json(const announce_message& sent);
@@ -121,6 +129,7 @@
 
 /** Reading throws std::exception on a bad message; the RPC layer counts it. */
 heartbeat_message heartbeat_from_json(const boost::json::object& members);
+join_request join_request_from_json(const boost::json::object& members);
 join_answer join_answer_from_json(const boost::json::object& members);
 sync_answer sync_answer_from_json(const boost::json::object& members);
 announce_message announce_from_json(const boost::json::object& members);
--- a/include/tillerhall/rpc/codec.hpp
+++ b/include/tillerhall/rpc/codec.hpp
@@ -13,6 +13,12 @@
 namespace tillerhall
 {
 
+/**
+ * @return whether @p text nests arrays and objects at most 32 deep. The
+ * library's parser recurses, so deeper text could overrun a fiber's stack.
+ */
+bool is_shallow(const std::string& text);
+
 /** How a frame or a call ended. */
 enum class rpc_status
 {
--- a/src/node/membership_controller.cpp
+++ b/src/node/membership_controller.cpp
@@ -13,10 +13,9 @@
 constexpr std::chrono::seconds join_timeout(3);
 constexpr milliseconds announce_timeout(700);
 constexpr std::size_t join_peers = 3;
-// Joins beyond this rate spread by rumor alone: a broadcast each would cost
-// the square of a returning herd.
-constexpr double join_news_per_s = 1;
-constexpr double join_news_burst = 5;
+// Joins of this long are told in one broadcast: a herd that returns costs
+// each node each record once, where rumors would cost it a dozen times.
+constexpr milliseconds join_batch_delay(100);
 constexpr double refutations_per_s = 1;
 constexpr double refutation_burst = 3;
 constexpr double syncs_per_s = 0.5;
@@ -34,7 +33,6 @@
     : m_mesh(mesh)
     , m_tables(tables)
     , m_suspicion({milliseconds(mesh.config.suspect_ms)})
-    , m_join_news(join_news_per_s, join_news_burst)
     , m_syncs(syncs_per_s, sync_burst)
     , m_refutations(refutations_per_s, refutation_burst)
 {
@@ -305,16 +303,17 @@
         join_answer answer;
     };
     std::vector<joined> answers;
-    const json::object params{{"r", to_json(m_mesh.members.self())}};
     for (const auto& peer : peers)
     {
         if (answers.size() == join_peers)
             break;
         if (peer == m_mesh.members.self().rpc)
             continue;
+        // One of them is enough to tell the others.
+        const join_request request{m_mesh.members.self(), answers.empty()};
         const auto answer =
             m_mesh.pool.call({peer, traffic_kind::membership, method::join,
-                              params, join_timeout});
+                              to_json(request), join_timeout});
         try
         {
             if (answer)
@@ -343,12 +342,9 @@
 
 json::object membership_controller::on_join(const json::object& params)
 {
-    auto read = member_from_json(params.at("r"));
-    if (!read)
-        return {{"e", name_of(read.reason().code())},
-                {"d", read.reason().detail()}};
-    const auto joiner = read->rpc;
-    merge(*read, "join", spreading::by_rumor);
+    const auto request = join_request_from_json(params);
+    const auto& joiner = request.joiner.rpc;
+    merge(request.joiner, "join", spreading::none);
     join_answer answer;
     answer.members = m_mesh.members.all();
     answer.services = m_mesh.members.services();
@@ -358,12 +354,29 @@
     if (const auto seen = m_versions_seen.find(joiner);
         seen != m_versions_seen.end())
         answer.floor = seen->second;
-    const auto* record = m_mesh.members.find(joiner);
-    if (record != nullptr && m_join_news.take(steady_clock::now()))
-        broadcast({*record, key_range{}});
+    if (request.tell_others)
+        tell_of_join(joiner);
     return to_json(answer);
 }
 
+void membership_controller::tell_of_join(const address& joiner)
+{
+    m_joined.insert(joiner);
+    if (m_joined.size() > 1)
+        return; // the broadcast for the first one will take it along
+    m_mesh.on.spawn(
+        [this]
+        {
+            sleep_for(m_mesh.on.io(), join_batch_delay);
+            announce_message message;
+            for (const auto& each : m_joined)
+                if (const auto* record = m_mesh.members.find(each))
+                    message.records.push_back(*record);
+            m_joined.clear();
+            broadcast(message);
+        });
+}
+
 void membership_controller::announce_self(member_state state,
                                           target_state target_is)
 {
@@ -373,7 +386,7 @@
         return;
     m_mesh.rumors.add(m_mesh.members.self().rpc);
     m_tables.members_changed();
-    broadcast({m_mesh.members.self(), key_range{}});
+    broadcast({{m_mesh.members.self()}, key_range{}});
 }
 
 void membership_controller::broadcast(const announce_message& message)
@@ -383,10 +396,10 @@
         static_cast<std::size_t>(m_mesh.config.fanout), m_mesh.random);
     for (const auto& part : parts)
         m_mesh.on.spawn(
-            [this, part, record = message.record]
+            [this, part, records = message.records]
             {
                 const auto params =
-                    to_json(announce_message{record, part.range});
+                    to_json(announce_message{records, part.range});
                 for (const auto& each : part.candidates)
                     if (m_mesh.pool.call({each, traffic_kind::membership,
                                           method::announce, params,
@@ -401,7 +414,7 @@
     if (!is_meant_for(m_mesh.members.self(), message.range))
         return {{"e", name_of(error_code::invalid_argument)},
                 {"d", "not this node's range"}};
-    merge(message.record, "announcement", spreading::none);
+    merge_all(message.records, "announcement", spreading::none);
     broadcast(message);
     return {};
 }
@@ -456,7 +469,7 @@
     // Rumors alone are not enough after a pause: the answers to heartbeats
     // whose senders have long given up would use them up.
     if (m_refutations.take(steady_clock::now()))
-        broadcast({m_mesh.members.self(), key_range{}});
+        broadcast({{m_mesh.members.self()}, key_range{}});
 }
 
 } // namespace tillerhall
--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -128,6 +128,19 @@
     return read;
 }
 
+json::object to_json(const join_request& sent)
+{
+    json::object members{{"r", to_json(sent.joiner)}};
+    if (sent.tell_others)
+        members["n"] = 1;
+    return members;
+}
+
+join_request join_request_from_json(const json::object& members)
+{
+    return {record_from(members.at("r")), members.contains("n")};
+}
+
 json::object to_json(const join_answer& sent)
 {
     return {{"r", records_to_json(sent.members)},
@@ -173,14 +186,14 @@
 
 json::object to_json(const announce_message& sent)
 {
-    json::object members{{"r", to_json(sent.record)}};
+    json::object members{{"r", records_to_json(sent.records)}};
     put_range(members, sent.range);
     return members;
 }
 
 announce_message announce_from_json(const json::object& members)
 {
-    return {record_from(members.at("r")), range_from_json(members)};
+    return {records_from(&members.at("r")), range_from_json(members)};
 }
 
 json::object to_json(const push_message& sent)
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -417,9 +417,16 @@
     auto version = version_param(request);
     if (!version)
         return respond(bad_version(request));
-    if (*version == 0)
-        version = m_tables.greatest_seen();
-    const auto report = m_tables.watch(*version);
+    const bool newest = *version == 0;
+    if (newest)
+        version = m_tables.current()->version();
+    auto report = m_tables.watch(*version);
+    if (newest && report.greatest_version > *version)
+    {
+        // Others are ahead of this node: follow what they have.
+        version = report.greatest_version;
+        report = m_tables.watch(*version);
+    }
     const auto live = m_mesh.members.live_count();
     // Never claimed while a live member lags or went uncounted.
     const bool in_force =
--- a/src/node/watch.cpp
+++ b/src/node/watch.cpp
@@ -24,7 +24,7 @@
 {
     watch_report report;
     const auto& self = m_mesh.members.self();
-    report.greatest_version = m_gate.greatest_seen();
+    report.greatest_version = current()->version();
     report.count(self.place.domain, self.rpc.text(),
                  current()->version() >= version);
     ask_range(
--- a/src/rpc/codec/client_codec.cpp
+++ b/src/rpc/codec/client_codec.cpp
@@ -23,6 +23,10 @@
         if (!m_transport(message, answer))
             throw jsonrpc::JsonRpcException(
                 jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, answer);
+        if (!is_shallow(answer))
+            throw jsonrpc::JsonRpcException(
+                jsonrpc::Errors::ERROR_CLIENT_CONNECTOR,
+                "the answer nests too deep");
     }
 
 private:
--- a/src/rpc/codec/server_codec.cpp
+++ b/src/rpc/codec/server_codec.cpp
@@ -100,6 +100,8 @@
 rpc_status rpc_server_codec::handle(const std::string& frame,
                                     std::string& answer)
 {
+    if (!is_shallow(frame))
+        return rpc_status::not_json;
     m_state->carrier.GetHandler()->HandleRequest(frame, answer);
     while (!answer.empty() && answer.back() == '\n')
         answer.pop_back();
--- a/tests/integration/calls.cpp
+++ b/tests/integration/calls.cpp
@@ -451,6 +451,35 @@
         });
 }
 
+TEST_CASE("slow callers hold no place at the target")
+{
+    on_worker(
+        [](worker& on)
+        {
+            started_cluster system(on, four_nodes());
+            accept_with(system, 1, {{"max_in_flight", "1"}});
+            std::vector<std::unique_ptr<tcp_stream>> slow;
+            for (int i = 0; i < 20; ++i)
+            {
+                auto stream = connect_stream(on.io(), system.nodes()[3].caller,
+                                             std::chrono::seconds(5));
+                REQUIRE(stream);
+                boost::system::error_code failed;
+                const std::string part = "POST / HTTP/1.1\r\nHost: "
+                                         "oogstbeurs\r\nX-Request-Id: slow\r\n"
+                                         "Content-Length: 10\r\n\r\nab";
+                boost::asio::async_write(**stream, boost::asio::buffer(part),
+                                         await{failed});
+                slow.push_back(std::move(*stream));
+            }
+            caller from(on.io(), system.nodes()[3].caller);
+            for (int i = 0; i < 20; ++i)
+                CHECK(from.call({"oogstbeurs", "quick-" + std::to_string(i)})
+                          .is_good());
+            CHECK_FALSE(all_runs(system).contains("slow"));
+        });
+}
+
 TEST_CASE("smuggled, oversized and broken requests are refused as not run")
 {
     on_worker(
--- a/tests/integration/distribution.cpp
+++ b/tests/integration/distribution.cpp
@@ -269,6 +269,7 @@
                 R"({"id":1,"jsonrpc":"2.0","method":"rm","params":{}})"
                 "\n"));
             CHECK(closes_after(on, node.rpc, std::string(5'000'000, 'x')));
+            CHECK(closes_after(on, node.rpc, std::string(200'000, '[') + "\n"));
             const auto bad =
                 send(on, node.rpc, method::heartbeat, {{"v", "not a number"}});
             CHECK_FALSE(bad);
@@ -277,12 +278,12 @@
             const auto metrics =
                 client.call("GET", "/metrics", "", std::chrono::seconds(5));
             REQUIRE(metrics);
-            for (const auto* reason :
-                 {"not_json", "unknown_method", "too_long"})
+            for (const auto* counted :
+                 {"not_json\"} 2", "unknown_method\"} 1", "too_long\"} 1"})
                 CHECK_THAT(
                     metrics->body,
                     Catch::Contains("tillerhall_rpc_bad_frame_total{reason=\"" +
-                                    std::string(reason) + "\"} 1"));
+                                    std::string(counted)));
             REQUIRE(system.accept(0, with_weight(system.csv(), 6), 1, "y"));
             CHECK(system.wait_for_version(2));
         });
--- a/tests/unit/rpc_and_metrics.cpp
+++ b/tests/unit/rpc_and_metrics.cpp
@@ -33,6 +33,18 @@
                         answer) == rpc_status::unknown_method);
 }
 
+TEST_CASE("text that nests too deep is refused before it is parsed")
+{
+    CHECK(is_shallow(R"({"a":[{"b":"[[[[\"[["}]})"));
+    CHECK(is_shallow(std::string(32, '[') + std::string(32, ']')));
+    CHECK_FALSE(is_shallow(std::string(33, '[')));
+    rpc_server_codec server({}, [](const auto&, const auto&)
+                            { return std::string("{}"); });
+    std::string answer;
+    CHECK(server.handle(std::string(100'000, '['), answer) ==
+          rpc_status::not_json);
+}
+
 TEST_CASE("a failed exchange is a failed call")
 {
     rpc_client_codec client(
