Members in order of key without copies; worker threads left at the stop

Cause 1: convergence grew with the number of nodes on one machine (1.6 ms at 25, 3.8 at 50, 7.7 at 100, 18.6 at 200 nodes): each node copied its whole member list, with a dozen strings a record, to split a range, to join routes and for each heartbeat. Change: records are shared and immutable, the list keeps them in order of key with their hashes, and range, routes, heartbeats, readers and claims read that.

Cause 2, found by the first test with three workers: a planned stop never ended. A thread that ends destroys Boost.Fiber's scheduler, which waits for fibers that wait for peers. Change: only the first worker is waited for; the process leaves at once after it, as it did with one worker.

--- a/include/tillerhall/distribution/key_range.hpp
+++ b/include/tillerhall/distribution/key_range.hpp
@@ -24,12 +24,6 @@
     bool operator==(const key_range&) const = default;
 };
 
-/**
- * @return the key of a member: region, then failure domain, then the hash of
- * its address, so that a range lies within few failure domains.
- */
-std::uint64_t key_of(const member& keyed);
-
 /** A part of a broadcast and the members that may take charge of it. */
 struct range_part
 {
--- a/include/tillerhall/membership/member.hpp
+++ b/include/tillerhall/membership/member.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/json/value.hpp>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -73,6 +74,15 @@
 /** Reads the compact JSON form. */
 result<member> member_from_json(const boost::json::value& value);
 
+/** A shared record that nobody changes. */
+using member_ptr = std::shared_ptr<const member>;
+
+/**
+ * @return the key of a member: region, then failure domain, then the hash of
+ * its address, so that a range of keys lies within few failure domains.
+ */
+std::uint64_t key_of(const member& keyed);
+
 /** @return a hash of the whole record. */
 std::uint64_t hash_of(const member& hashed);
 
--- a/include/tillerhall/membership/member_list.hpp
+++ b/include/tillerhall/membership/member_list.hpp
@@ -13,6 +13,14 @@
 namespace tillerhall
 {
 
+/** A record with what orders it; both hashes are of the address alone. */
+struct keyed_member
+{
+    std::uint64_t key = 0;  ///< see `key_of`
+    std::uint64_t ring = 0; ///< its place on the ring of heartbeats
+    member_ptr record;
+};
+
 /** What merging a record did. */
 enum class merge_result
 {
@@ -58,6 +66,12 @@
     /** @return every record, this node's included, in order of address. */
     std::vector<member> all() const;
 
+    /**
+     * @return every record in order of key, without copying them. Built anew
+     * after a change; valid until the next one.
+     */
+    const std::vector<keyed_member>& ordered() const;
+
     /** @return members neither suspect nor dead, this node included. */
     std::size_t live_count() const noexcept;
 
@@ -86,7 +100,9 @@
 private:
     struct entry
     {
-        member record;
+        member_ptr record;
+        std::uint64_t key = 0;
+        std::uint64_t ring = 0;
         std::uint64_t hash = 0;
         time_point changed{};
     };
@@ -101,6 +117,8 @@
     std::set<std::string> m_places;
     time_point m_now{};
     std::uint64_t m_changes = 0;
+    mutable std::vector<keyed_member> m_ordered;
+    mutable std::uint64_t m_ordered_at = 0; ///< change count it was built at
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/node/membership_controller.hpp
+++ b/include/tillerhall/node/membership_controller.hpp
@@ -20,6 +20,9 @@
 class membership_controller
 {
 public:
+    /** Peers that a joining or resuming node asks. */
+    static constexpr std::size_t peers_asked = 3;
+
     membership_controller(mesh_state& mesh, distribution_controller& tables);
 
     /** Adds the control methods for heartbeats, joins and news. */
--- a/include/tillerhall/routing/route_view.hpp
+++ b/include/tillerhall/routing/route_view.hpp
@@ -15,7 +15,7 @@
 struct place_route
 {
     row limits;
-    std::vector<member> targets;
+    std::vector<member_ptr> targets;
 };
 
 /** The places that serve one service. */
--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -27,7 +27,7 @@
 /** A target that was chosen for a call. */
 struct chosen_target
 {
-    member owner;
+    member_ptr owner;
     row limits;
 };
 
--- a/src/distribution/key_range.cpp
+++ b/src/distribution/key_range.cpp
@@ -15,29 +15,23 @@
 // A part is offered to this many members before it is given up.
 constexpr std::size_t most_candidates = 3;
 
-struct keyed_member
+/** @return the live members in @p range but this node, in order of key. */
+std::vector<const keyed_member*> members_in(const key_range& range,
+                                            const member_list& members)
 {
-    std::uint64_t key;
-    member record;
-};
-
-std::vector<keyed_member> members_in(const key_range& range,
-                                     const member_list& members)
-{
-    std::vector<keyed_member> inside;
-    for (auto& each : members.all())
-    {
-        const auto key = key_of(each);
-        if (is_live(each) && each.rpc != members.self().rpc &&
-            range.contains(key))
-            inside.push_back({key, std::move(each)});
-    }
-    std::ranges::sort(inside, {}, &keyed_member::key);
+    const auto& all = members.ordered();
+    const auto& self = members.self().rpc;
+    std::vector<const keyed_member*> inside;
+    auto each =
+        std::ranges::lower_bound(all, range.least, {}, &keyed_member::key);
+    for (; each != all.end() && each->key <= range.most; ++each)
+        if (is_live(*each->record) && each->record->rpc != self)
+            inside.push_back(&*each);
     return inside;
 }
 
 /** @return up to three of the group, this node's own domain first. */
-std::vector<address> choose(std::span<const keyed_member> group,
+std::vector<address> choose(std::span<const keyed_member* const> group,
                             const member& self,
                             random_source& random)
 {
@@ -47,14 +41,19 @@
     std::ranges::shuffle(order, random);
     std::ranges::stable_partition(
         order,
-        [&](std::size_t i) { return group[i].record.place == self.place; });
+        [&](std::size_t i) { return group[i]->record->place == self.place; });
     std::vector<address> chosen;
     for (std::size_t i = 0; i < std::min(most_candidates, order.size()); ++i)
-        chosen.push_back(group[order[i]].record.rpc);
+        chosen.push_back(group[order[i]]->record->rpc);
     return chosen;
 }
 
-using member_group = std::span<const keyed_member>;
+using member_group = std::span<const keyed_member* const>;
+
+std::uint64_t key_at(const keyed_member* each)
+{
+    return each->key;
+}
 
 /** Cuts @p inside into equal groups, none of which straddles @p own_key. */
 std::vector<member_group>
@@ -67,8 +66,7 @@
         const auto first = inside.size() * i / count;
         const auto last = inside.size() * (i + 1) / count;
         const auto whole = inside.subspan(first, last - first);
-        const auto above =
-            std::ranges::upper_bound(whole, own_key, {}, &keyed_member::key);
+        const auto above = std::ranges::upper_bound(whole, own_key, {}, key_at);
         const auto below = static_cast<std::size_t>(above - whole.begin());
         if (below != 0)
             groups.push_back(whole.first(below));
@@ -83,7 +81,7 @@
 {
     if (!range.contains(own_key))
         return;
-    if (kept.front().key > own_key)
+    if (kept.front()->key > own_key)
         range.least = own_key + 1;
     else
         range.most = own_key - 1;
@@ -109,18 +107,6 @@
 
 } // namespace
 
-std::uint64_t key_of(const member& keyed)
-{
-    // Equal bits for two regions or domains only cost locality; 48 bits keep
-    // the keys of members apart.
-    constexpr int name_bits = 8;
-    constexpr int node_bits = 48;
-    const auto region = stable_hash(keyed.place.region) >> (64 - name_bits);
-    const auto domain = stable_hash(keyed.place.domain) >> (64 - name_bits);
-    const auto node = stable_hash(keyed.rpc.text()) >> (64 - node_bits);
-    return region << (name_bits + node_bits) | domain << node_bits | node;
-}
-
 std::vector<range_part> split_range(const key_range& range,
                                     const member_list& members,
                                     std::size_t fanout,
@@ -136,7 +122,7 @@
         const bool is_last = i + 1 == groups.size();
         range_part part;
         part.range.least = least;
-        part.range.most = is_last ? range.most : groups[i + 1].front().key - 1;
+        part.range.most = is_last ? range.most : groups[i + 1].front()->key - 1;
         least = part.range.most + 1;
         exclude(own_key, groups[i], part.range);
         part.live_members = groups[i].size();
--- a/src/distribution/reader_choice.cpp
+++ b/src/distribution/reader_choice.cpp
@@ -17,11 +17,12 @@
 {
     const auto& self = members.self();
     const auto own = weight_of(self);
-    const auto all = members.all();
+    const auto& all = members.ordered();
     const auto greater =
         std::ranges::count_if(all,
-                              [&](const member& each)
+                              [&](const keyed_member& kept)
                               {
+                                  const auto& each = *kept.record;
                                   return each.place == self.place &&
                                          each.state == member_state::alive &&
                                          weight_of(each) > own;
--- a/src/distribution/strategy.cpp
+++ b/src/distribution/strategy.cpp
@@ -52,15 +52,15 @@
                      std::size_t fanout,
                      random_source& random) const override
     {
-        auto others = members.all();
-        std::erase_if(
-            others, [&](const member& each)
-            { return !is_live(each) || each.rpc == members.self().rpc; });
+        std::vector<member_ptr> others;
+        for (const auto& each : members.ordered())
+            if (is_live(*each.record) && each.record->rpc != members.self().rpc)
+                others.push_back(each.record);
         std::ranges::shuffle(others, random);
         others.resize(std::min(fanout, others.size()));
         parts chosen;
         for (const auto& each : others)
-            chosen.push_back({key_range{}, {each.rpc}, 1});
+            chosen.push_back({key_range{}, {each->rpc}, 1});
         return chosen;
     }
 };
--- a/src/membership/heartbeat_schedule.cpp
+++ b/src/membership/heartbeat_schedule.cpp
@@ -2,6 +2,7 @@
 #include "tillerhall/core/digest.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace tillerhall
 {
@@ -11,26 +12,31 @@
 struct ring_point
 {
     std::uint64_t distance; ///< clockwise from this node
-    address node;
+    const keyed_member* node;
 };
 
-std::optional<address> pick(const std::vector<address>& from,
-                            random_source& random)
+/** @return a random one of the other members that fulfil @p wanted. */
+template <class Predicate>
+std::optional<address>
+pick(const member_list& members, random_source& random, Predicate wanted)
 {
-    if (from.empty())
+    const auto& self = members.self().rpc;
+    const auto fits = [&](const keyed_member& each)
+    { return wanted(*each.record) && each.record->rpc != self; };
+    const auto& all = members.ordered();
+    const auto count = std::ranges::count_if(all, fits);
+    if (count == 0)
         return std::nullopt;
-    return from[random.below(from.size())];
+    auto left = random.below(static_cast<std::uint64_t>(count));
+    const auto chosen =
+        std::ranges::find_if(all, [&](const keyed_member& each)
+                             { return fits(each) && left-- == 0; });
+    return chosen->record->rpc;
 }
 
-/** @return the addresses of the other members that fulfil @p wanted. */
-template <class Predicate>
-std::vector<address> others(const member_list& members, Predicate wanted)
+bool is_dead(const member& checked)
 {
-    std::vector<address> found;
-    for (const auto& each : members.all())
-        if (each.rpc != members.self().rpc && wanted(each))
-            found.push_back(each.rpc);
-    return found;
+    return checked.state == member_state::dead;
 }
 
 } // namespace
@@ -38,16 +44,18 @@
 std::vector<address>
 heartbeat_schedule::ring_successors(const member_list& members)
 {
-    const auto origin = stable_hash(members.self().rpc.text());
+    const auto& self = members.self().rpc;
+    const auto origin = stable_hash(self.text());
     std::vector<ring_point> ring;
-    for (const auto& node : others(members, is_live))
-        ring.push_back({stable_hash(node.text()) - origin, node});
+    for (const auto& each : members.ordered())
+        if (is_live(*each.record) && each.record->rpc != self)
+            ring.push_back({each.ring - origin, &each});
     const auto kept = std::min(successors, ring.size());
     std::ranges::partial_sort(ring, ring.begin() + static_cast<long>(kept), {},
                               &ring_point::distance);
     std::vector<address> nearest;
     for (std::size_t i = 0; i < kept; ++i)
-        nearest.push_back(ring[i].node);
+        nearest.push_back(ring[i].node->record->rpc);
     return nearest;
 }
 
@@ -55,17 +63,13 @@
                                                 random_source& random)
 {
     const auto turn = m_turn++;
-    const auto dead = [](const member& each)
-    { return each.state == member_state::dead; };
     if (turn % dead_every == dead_every - 1)
-        if (auto lost = pick(others(members, dead), random))
+        if (auto lost = pick(members, random, is_dead))
             return lost;
-    const auto nearest = ring_successors(members);
-    if (turn % 2 == 0 && !nearest.empty())
-        return nearest[turn / 2 % nearest.size()];
-    const auto not_dead = [](const member& each)
-    { return each.state != member_state::dead; };
-    return pick(others(members, not_dead), random);
+    if (turn % 2 == 0)
+        if (const auto nearest = ring_successors(members); !nearest.empty())
+            return nearest[turn / 2 % nearest.size()];
+    return pick(members, random, std::not_fn(is_dead));
 }
 
 } // namespace tillerhall
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -137,4 +137,16 @@
     return stable_hash(json::serialize(to_json(hashed)));
 }
 
+std::uint64_t key_of(const member& keyed)
+{
+    // Equal bits for two regions or domains only cost locality; 48 bits keep
+    // the keys of members apart.
+    constexpr int name_bits = 8;
+    constexpr int node_bits = 48;
+    const auto region = stable_hash(keyed.place.region) >> (64 - name_bits);
+    const auto domain = stable_hash(keyed.place.domain) >> (64 - name_bits);
+    const auto node = stable_hash(keyed.rpc.text()) >> (64 - node_bits);
+    return region << (name_bits + node_bits) | domain << node_bits | node;
+}
+
 } // namespace tillerhall
--- a/src/membership/member_list.cpp
+++ b/src/membership/member_list.cpp
@@ -15,7 +15,7 @@
 
 const member& member_list::self() const noexcept
 {
-    return m_entries.find(m_self)->second.record;
+    return *m_entries.find(m_self)->second.record;
 }
 
 void member_list::update_self(member_state state, target_state target_is)
@@ -66,7 +66,7 @@
                   {
                       const auto& kept = each.second;
                       const bool drop =
-                          kept.record.state == member_state::dead &&
+                          kept.record->state == member_state::dead &&
                           kept.changed < before;
                       m_changes += drop ? 1 : 0;
                       return drop;
@@ -76,7 +76,7 @@
 const member* member_list::find(const address& node) const noexcept
 {
     const auto found = m_entries.find(node);
-    return found == m_entries.end() ? nullptr : &found->second.record;
+    return found == m_entries.end() ? nullptr : found->second.record.get();
 }
 
 std::vector<member> member_list::all() const
@@ -84,14 +84,28 @@
     std::vector<member> records;
     records.reserve(m_entries.size());
     for (const auto& each : m_entries)
-        records.push_back(each.second.record);
+        records.push_back(*each.second.record);
     return records;
 }
 
+const std::vector<keyed_member>& member_list::ordered() const
+{
+    if (m_ordered_at == m_changes)
+        return m_ordered;
+    m_ordered.clear();
+    m_ordered.reserve(m_entries.size());
+    for (const auto& each : m_entries)
+        m_ordered.push_back(
+            {each.second.key, each.second.ring, each.second.record});
+    std::ranges::sort(m_ordered, {}, &keyed_member::key);
+    m_ordered_at = m_changes;
+    return m_ordered;
+}
+
 std::size_t member_list::live_count() const noexcept
 {
     const auto live = [](const auto& each)
-    { return is_live(each.second.record); };
+    { return is_live(*each.second.record); };
     return static_cast<std::size_t>(std::ranges::count_if(m_entries, live));
 }
 
@@ -116,7 +130,7 @@
     std::vector<member> records;
     for (const auto& each : m_entries)
         if (bucket_of(each.first) == index)
-            records.push_back(each.second.record);
+            records.push_back(*each.second.record);
     return records;
 }
 
@@ -127,7 +141,12 @@
     bucket_digest ^= kept.hash; // 0 for a new entry
     // Dead records count for nothing: nodes forget them at different times.
     const bool counts = stored.state != member_state::dead;
-    kept = {stored, counts ? hash_of(stored) : 0, m_now};
+    if (!kept.record)
+        kept.ring = stable_hash(stored.rpc.text());
+    kept.key = key_of(stored);
+    kept.record = std::make_shared<const member>(stored);
+    kept.hash = counts ? hash_of(stored) : 0;
+    kept.changed = m_now;
     bucket_digest ^= kept.hash;
     m_services.insert(stored.service);
     m_places.insert(stored.place.domain);
--- a/src/membership/suspicion.cpp
+++ b/src/membership/suspicion.cpp
@@ -32,8 +32,10 @@
 std::vector<address> suspicion::expire(member_list& members, time_point now)
 {
     std::vector<address> buried;
-    for (const auto& each : members.all())
+    const auto records = members.ordered(); // accusing changes the list
+    for (const auto& kept : records)
     {
+        const auto& each = *kept.record;
         if (each.state != member_state::suspect)
         {
             m_since.erase(each.rpc);
--- a/src/node/claim_controller.cpp
+++ b/src/node/claim_controller.cpp
@@ -115,16 +115,16 @@
 
 address claim_controller::keeper_of(std::size_t shard) const
 {
-    const auto name = "claims/" + std::to_string(shard) + "/";
+    const auto shard_hash = mix_bits(shard + 1);
     std::uint64_t greatest = 0;
     address keeper = m_mesh.members.self().rpc;
-    for (const auto& each : m_mesh.members.all())
+    for (const auto& each : m_mesh.members.ordered())
     {
-        const auto weight = stable_hash(name + each.rpc.text());
-        if (each.state == member_state::alive && weight >= greatest)
+        const auto weight = mix_bits(each.ring ^ shard_hash);
+        if (each.record->state == member_state::alive && weight >= greatest)
         {
             greatest = weight;
-            keeper = each.rpc;
+            keeper = each.record->rpc;
         }
     }
     return keeper;
--- a/src/node/entry_proxy.cpp
+++ b/src/node/entry_proxy.cpp
@@ -24,52 +24,6 @@
     return problem;
 }
 
-// Claims are kept for 14 minutes.
-constexpr std::chrono::minutes longest_claimed_call(5);
-
-/** What a repeat of a keyed call is told. */
-struct claim_problem
-{
-    claim_verdict verdict;
-    unsigned status;
-    std::string_view title;
-    std::string_view remedy;
-    std::string_view outcome;
-};
-
-constexpr std::array claim_problem_table{
-    claim_problem{claim_verdict::other_body, 422,
-                  "the key was used for another body",
-                  "take a new Idempotency-Key for a new operation",
-                  outcome_value::not_run},
-    claim_problem{claim_verdict::in_progress, 409,
-                  "a call with this key is under way",
-                  "repeat with the same key after the time in Retry-After",
-                  outcome_value::unknown},
-    claim_problem{claim_verdict::already_ran, 409,
-                  "the call with this key already ran",
-                  "look up its result; the answer is no longer kept",
-                  outcome_value::already_ran},
-    claim_problem{
-        claim_verdict::may_have_run, 409, "the call with this key may have run",
-        "check before repeating it under a new key", outcome_value::unknown},
-};
-
-call_problem problem_of_claim(claim_verdict verdict)
-{
-    const auto found = std::ranges::find(claim_problem_table, verdict,
-                                         &claim_problem::verdict);
-    call_problem problem;
-    problem.status = found->status;
-    problem.title = found->title;
-    problem.detail = found->title;
-    problem.remedy = found->remedy;
-    problem.outcome = found->outcome;
-    if (verdict == claim_verdict::in_progress)
-        problem.retry_after = "1";
-    return problem;
-}
-
 constexpr std::array<std::string_view, 6> end_names{
     "answered", "not_run", "unknown", "timed_out", "cut", "caller_gone"};
 
@@ -209,74 +163,6 @@
                                           : try_targets(call, context);
 }
 
-bool entry_proxy::must_be_claimed(const inbound_call& call,
-                                  const call_context& context) const
-{
-    if (context.repeatable ||
-        call.head().count(field_name::idempotency_key) == 0)
-        return false;
-    const auto routes = m_board.routes.get();
-    const auto* route = routes->find(context.service);
-    return route != nullptr &&
-           std::ranges::none_of(route->places, [](const place_route& each)
-                                { return each.limits.repeatable != 0; });
-}
-
-relay_result entry_proxy::pass_on_once(inbound_call& call,
-                                       call_context& context)
-{
-    relay_result result;
-    result.end = relay_end::not_run;
-    boost::system::error_code failed;
-    const auto remote = call.stream().socket().remote_endpoint(failed);
-    context.claim_key =
-        claim_key_of(call.head(), failed ? "" : remote.address().to_string());
-    if (context.claim_key.empty())
-        return try_targets(call, context);
-    // The claim outlives the call by far, so that a holder that was paused
-    // finds its own deadline passed before the key is free again.
-    context.deadline =
-        std::min(context.deadline, context.start + longest_claimed_call);
-    const auto body = body_digest(call);
-    const auto claimed = run_on(
-        m_first, [&] { return m_claims.claim_key(context.claim_key, body); });
-    m_board.metrics
-        .get("tillerhall_claim_verdicts_total",
-             "verdict=\"" + std::string(name_of(claimed.verdict)) + "\"")
-        .add();
-    if (claimed.verdict != claim_verdict::granted)
-        return answer_claim(call, context, claimed);
-    result = try_targets(call, context);
-    const auto state = result.end == relay_end::answered ? claim_state::done
-                       : result.end == relay_end::not_run
-                           ? claim_state::released
-                           : claim_state::unknown;
-    m_first.spawn([this, key = context.claim_key, state, kept = result.kept]
-                  { m_claims.finish(key, state, kept); });
-    return result;
-}
-
-relay_result entry_proxy::answer_claim(inbound_call& call,
-                                       const call_context& context,
-                                       const claim_answer& claimed)
-{
-    relay_result result;
-    result.end = relay_end::not_run;
-    if (claimed.verdict == claim_verdict::store_down)
-    {
-        result.detail = "the key could not be claimed, so the call was not "
-                        "passed on";
-        return result;
-    }
-    result.end = relay_end::answered;
-    if (claimed.answer)
-        send_replay(call, context.request_id, *claimed.answer);
-    else
-        send_problem(call, context.request_id,
-                     problem_of_claim(claimed.verdict));
-    return result;
-}
-
 relay_result entry_proxy::try_targets(inbound_call& call, call_context& context)
 {
     relay_result result;
@@ -305,13 +191,13 @@
                 .add();
         const auto begin = steady_clock::now();
         result = attempt(call, context, *chosen);
-        context.attempts.push_back({chosen->owner.rpc.text(),
-                                    chosen->owner.place.domain,
+        context.attempts.push_back({chosen->owner->rpc.text(),
+                                    chosen->owner->place.domain,
                                     std::string(name_of(result.end)),
                                     result.detail, milliseconds_since(begin)});
         if (!may_try_again(call, context, chosen->limits, result))
             return result;
-        tried.push_back(chosen->owner.rpc);
+        tried.push_back(chosen->owner->rpc);
     }
     return result;
 }
@@ -342,12 +228,12 @@
     late.detail = "the time for the call was over before it was passed on";
     if (begin >= deadline)
         return late;
-    m_targets.started(chosen.owner.rpc);
-    auto result = chosen.owner.rpc == m_config.advertise_rpc
+    m_targets.started(chosen.owner->rpc);
+    auto result = chosen.owner->rpc == m_config.advertise_rpc
                       ? m_local.run(call, context, false)
                       : send_to_peer(call, context, chosen, deadline);
     const auto now = steady_clock::now();
-    m_targets.ended(chosen.owner.rpc, verdict_of(result), now - begin,
+    m_targets.ended(chosen.owner->rpc, verdict_of(result), now - begin,
                     result.load, now);
     return result;
 }
@@ -358,12 +244,12 @@
                                        time_point deadline)
 {
     const auto now = steady_clock::now();
-    const auto& peer = chosen.owner.peer;
+    const auto& peer = chosen.owner->peer;
     auto stream =
         m_pool.take(peer, std::min<duration>(connect_timeout, deadline - now));
     if (!stream)
     {
-        m_report(chosen.owner.rpc);
+        m_report(chosen.owner->rpc);
         relay_result refused;
         refused.end = relay_end::not_run;
         refused.detail = stream.reason().detail();
--- /dev/null
+++ b/src/node/membership_joining.cpp
@@ -0,0 +1,157 @@
+/** @file The joining and syncing part of the membership controller. */
+#include "tillerhall/node/membership_controller.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace tillerhall
+{
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr std::chrono::seconds join_timeout(3);
+// Joins of this long are told in one broadcast: a herd that returns costs
+// each node each record once, where rumors would cost it a dozen times.
+constexpr milliseconds join_batch_delay(100);
+
+} // namespace
+
+void membership_controller::sync_with(const address& peer)
+{
+    m_mesh.board.metrics.get("tillerhall_member_syncs_total").add();
+    const auto answer =
+        m_mesh.pool.call({peer, traffic_kind::membership, method::sync,
+                          to_json(m_mesh.members.buckets()), join_timeout});
+    if (!answer)
+        return;
+    try
+    {
+        const auto read = sync_answer_from_json(*answer);
+        m_mesh.members.learn_names(read.services, read.places);
+        merge_all(read.members, "sync", spreading::none);
+        pass_on_newer(read);
+    }
+    catch (const std::exception&)
+    {
+        m_mesh.board.metrics.get("tillerhall_rpc_bad_message_total").add();
+    }
+}
+
+void membership_controller::pass_on_newer(const sync_answer& theirs)
+{
+    std::map<address, member> known;
+    for (const auto& each : theirs.members)
+        known[each.rpc] = each;
+    for (const auto index : theirs.differing)
+        for (const auto& own : m_mesh.members.bucket(index))
+        {
+            const auto found = known.find(own.rpc);
+            if (found == known.end() || supersedes(own, found->second))
+                m_mesh.rumors.add(own.rpc);
+        }
+}
+
+json::object membership_controller::on_sync(const json::object& params)
+{
+    const auto theirs = buckets_from_json(params);
+    const auto& ours = m_mesh.members.buckets();
+    sync_answer answer;
+    answer.services = m_mesh.members.services();
+    answer.places = m_mesh.members.places();
+    for (std::size_t i = 0; i < theirs.size(); ++i)
+    {
+        if (theirs[i] == ours[i])
+            continue;
+        answer.differing.push_back(i);
+        const auto bucket = m_mesh.members.bucket(i);
+        answer.members.insert(answer.members.end(), bucket.begin(),
+                              bucket.end());
+    }
+    return to_json(answer);
+}
+
+bool membership_controller::join_through(const std::vector<address>& peers)
+{
+    struct joined
+    {
+        address peer;
+        join_answer answer;
+    };
+    std::vector<joined> answers;
+    for (const auto& peer : peers)
+    {
+        if (answers.size() == peers_asked)
+            break;
+        if (peer == m_mesh.members.self().rpc)
+            continue;
+        // One of them is enough to tell the others.
+        const join_request request{m_mesh.members.self(), answers.empty()};
+        const auto answer =
+            m_mesh.pool.call({peer, traffic_kind::membership, method::join,
+                              to_json(request), join_timeout});
+        try
+        {
+            if (answer)
+                answers.push_back({peer, join_answer_from_json(*answer)});
+        }
+        catch (const std::exception&)
+        {
+            continue; // another peer may speak a message we understand
+        }
+    }
+    // The greatest version first: the others then have nothing to add.
+    std::ranges::sort(answers, std::greater<>(),
+                      [](const joined& each) { return each.answer.version; });
+    for (const auto& [peer, answer] : answers)
+    {
+        m_mesh.members.learn_names(answer.services, answer.places);
+        merge_all(answer.members, "join", spreading::none);
+        m_freshness.heard(answer.source_age_ms, steady_clock::now());
+        m_tables.must_reach(std::max(answer.version, answer.floor));
+    }
+    for (const auto& [peer, answer] : answers)
+        if (answer.version > m_tables.current()->version())
+            m_tables.pull_now(peer);
+    return !answers.empty();
+}
+
+json::object membership_controller::on_join(const json::object& params)
+{
+    const auto request = join_request_from_json(params);
+    const auto& joiner = request.joiner.rpc;
+    merge(request.joiner, "join", spreading::none);
+    join_answer answer;
+    answer.members = m_mesh.members.all();
+    answer.services = m_mesh.members.services();
+    answer.places = m_mesh.members.places();
+    answer.version = m_tables.current()->version();
+    answer.source_age_ms = m_freshness.age_ms(steady_clock::now());
+    if (const auto seen = m_versions_seen.find(joiner);
+        seen != m_versions_seen.end())
+        answer.floor = seen->second;
+    if (request.tell_others)
+        tell_of_join(joiner);
+    return to_json(answer);
+}
+
+void membership_controller::tell_of_join(const address& joiner)
+{
+    m_joined.insert(joiner);
+    if (m_joined.size() > 1)
+        return; // the broadcast for the first one will take it along
+    m_mesh.on.spawn(
+        [this]
+        {
+            sleep_for(m_mesh.on.io(), join_batch_delay);
+            announce_message message;
+            for (const auto& each : m_joined)
+                if (const auto* record = m_mesh.members.find(each))
+                    message.records.push_back(*record);
+            m_joined.clear();
+            broadcast(message);
+        });
+}
+
+} // namespace tillerhall
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -281,12 +281,11 @@
 {
     m_parts->compose();
     m_parts->start_control();
-    std::vector<std::jthread> threads;
+    // These threads are left to the end of the process: ending one would wait
+    // for its fibers, most of which wait for peers and callers.
     for (std::size_t i = 1; i < m_parts->workers.size(); ++i)
-        threads.emplace_back([on = &m_parts->workers[i]->runs] { on->run(); });
+        std::thread([on = &m_parts->workers[i]->runs] { on->run(); }).detach();
     m_parts->first().run();
-    for (auto& each : threads)
-        each.join();
     return 0;
 }
 
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -1,4 +1,5 @@
 #include "tillerhall/node/operator_api.hpp"
+#include "tillerhall/node/operator_json.hpp"
 #include "tillerhall/table/csv.hpp"
 
 #include <algorithm>
@@ -16,108 +17,6 @@
 constexpr std::size_t default_history = 20;
 constexpr std::size_t most_history = 1000;
 
-struct status_entry
-{
-    error_code code;
-    unsigned status;
-};
-
-constexpr std::array status_table{
-    status_entry{error_code::invalid_argument, 422},
-    status_entry{error_code::bad_syntax, 400},
-    status_entry{error_code::out_of_range, 422},
-    status_entry{error_code::unknown_name, 404},
-    status_entry{error_code::not_found, 404},
-    status_entry{error_code::conflict, 409},
-    status_entry{error_code::unauthorized, 401},
-    status_entry{error_code::outcome_unknown, 504},
-    status_entry{error_code::unavailable, 503},
-};
-
-unsigned status_of(error_code code)
-{
-    const auto found =
-        std::ranges::find(status_table, code, &status_entry::code);
-    return found == status_table.end() ? 500 : found->status;
-}
-
-json::object to_json(const error& shown)
-{
-    return {{"error", name_of(shown.code())},
-            {"detail", shown.detail()},
-            {"remedy", shown.remedy()}};
-}
-
-json::array to_json(const std::vector<error>& problems)
-{
-    json::array list;
-    for (const auto& each : problems)
-        list.push_back(to_json(each));
-    return list;
-}
-
-http_response respond(unsigned status, const json::value& body)
-{
-    http_response response;
-    response.status = status;
-    response.body = json::serialize(body) + "\n";
-    return response;
-}
-
-http_response respond(const error& failed)
-{
-    return respond(status_of(failed.code()), to_json(failed));
-}
-
-json::array lines_of(const table_delta& changes)
-{
-    json::array lines;
-    for (const auto& line : describe(changes))
-        lines.emplace_back(line);
-    return lines;
-}
-
-json::object to_json(const version_record& record)
-{
-    return {{"version", record.version},
-            {"digest", record.digest},
-            {"author", record.author},
-            {"accept_id", record.accept_id},
-            {"accepted_us", record.accepted_us},
-            {"changes", lines_of(record.changes)}};
-}
-
-json::object to_json(const merge_conflict& conflict)
-{
-    return {{"service", conflict.key.service}, {"place", conflict.key.place},
-            {"column", conflict.column},       {"base", conflict.base},
-            {"mine", conflict.mine},           {"theirs", conflict.theirs}};
-}
-
-http_response respond(const accept_outcome& outcome)
-{
-    if (!outcome.refused)
-        return respond(200, json::object{{"version", outcome.version},
-                                         {"digest", outcome.digest},
-                                         {"unchanged", outcome.unchanged},
-                                         {"repeated", outcome.repeated},
-                                         {"changes", lines_of(outcome.changes)},
-                                         {"answered_us", wall_clock_us()}});
-    auto body = to_json(*outcome.refused);
-    if (!outcome.problems.empty())
-        body["problems"] = to_json(outcome.problems);
-    if (outcome.head != 0)
-    {
-        body["head"] = outcome.head;
-        json::array conflicts;
-        for (const auto& each : outcome.conflicts)
-            conflicts.push_back(to_json(each));
-        body["conflicts"] = std::move(conflicts);
-        body["rebased_draft"] = outcome.rebased_draft;
-    }
-    return respond(status_of(outcome.refused->code()), body);
-}
-
 json::object parse_body(const http_request& request, std::string& failed)
 {
     boost::system::error_code code;
@@ -138,39 +37,6 @@
                : std::string();
 }
 
-json::object traffic_to_json(const traffic_counters& traffic)
-{
-    json::object kinds;
-    for (std::size_t i = 0; i < traffic_kinds; ++i)
-    {
-        const auto kind = static_cast<traffic_kind>(i);
-        kinds[name_of(kind)] = json::object{{"in", traffic.bytes_in(kind)},
-                                            {"out", traffic.bytes_out(kind)}};
-    }
-    return kinds;
-}
-
-/** @return routes in force that name a service or target not known here. */
-std::int64_t orphan_routes(const route_view& routes, const member_list& members)
-{
-    std::int64_t orphans = 0;
-    for (const auto& service : routes.table().table().services())
-    {
-        orphans += members.services().contains(service) ? 0 : 1;
-        for (const auto& place : routes.find(service)->places)
-            orphans += std::ranges::count_if(
-                place.targets, [&](const member& each)
-                { return members.find(each.rpc) == nullptr; });
-    }
-    return orphans;
-}
-
-std::int64_t serving_targets(const member_list& members)
-{
-    const auto all = members.all();
-    return std::ranges::count_if(all, takes_calls);
-}
-
 /** Reads a version number; 0 when it is absent, nothing when malformed. */
 std::optional<std::uint64_t> version_param(const http_request& request)
 {
@@ -318,7 +184,7 @@
                           {"members_digest", m_mesh.members.digest()},
                           {"strategy", m_tables.strategy().name()},
                           {"control_bytes", board.traffic.total()},
-                          {"traffic", traffic_to_json(board.traffic)}});
+                          {"traffic", to_json(board.traffic)}});
 }
 
 http_response operator_api::table(const http_request& request)
@@ -450,16 +316,7 @@
 {
     json::array list;
     for (const auto& each : m_mesh.members.all())
-        list.push_back(json::object{{"node", each.rpc.text()},
-                                    {"caller", each.caller.text()},
-                                    {"operators", each.operators.text()},
-                                    {"region", each.place.region},
-                                    {"domain", each.place.domain},
-                                    {"service", each.service},
-                                    {"target", each.target.text()},
-                                    {"target_state", name_of(each.target_is)},
-                                    {"state", name_of(each.state)},
-                                    {"incarnation", each.incarnation}});
+        list.push_back(to_operator_json(each));
     return respond(200, json::object{{"members", std::move(list)}});
 }
 
@@ -468,11 +325,7 @@
     json::array list;
     for (const auto& each :
          m_mesh.board.decisions.about(request.param("subject")))
-        list.push_back(json::object{{"time_us", each.time_us},
-                                    {"decision", each.decision},
-                                    {"subject", each.subject},
-                                    {"reason", each.reason},
-                                    {"figures", each.figures}});
+        list.push_back(to_json(each));
     return respond(200, json::object{{"entries", std::move(list)}});
 }
 
@@ -485,22 +338,7 @@
 {
     json::array list;
     for (const auto& each : m_mesh.board.calls.find(request.param("id")))
-    {
-        json::array attempts;
-        for (const auto& tried : each.attempts)
-            attempts.push_back(json::object{{"node", tried.node},
-                                            {"place", tried.place},
-                                            {"end", tried.end},
-                                            {"detail", tried.detail},
-                                            {"took_ms", tried.took_ms}});
-        list.push_back(json::object{{"time_us", each.time_us},
-                                    {"request_id", each.request_id},
-                                    {"service", each.service},
-                                    {"end", each.end},
-                                    {"version", each.version},
-                                    {"took_ms", each.took_ms},
-                                    {"attempts", std::move(attempts)}});
-    }
+        list.push_back(to_json(each));
     return respond(200, json::object{{"calls", std::move(list)}});
 }
 
--- a/src/routing/route_view.cpp
+++ b/src/routing/route_view.cpp
@@ -8,11 +8,11 @@
 route_view::route_view(table_view_ptr table, const member_list& members)
     : m_table(std::move(table))
 {
-    std::map<row_key, std::vector<member>> by_row;
-    for (auto& each : members.all())
-        if (takes_calls(each))
-            by_row[{each.service, each.place.domain}].push_back(
-                std::move(each));
+    std::map<row_key, std::vector<member_ptr>> by_row;
+    for (const auto& each : members.ordered())
+        if (takes_calls(*each.record))
+            by_row[{each.record->service, each.record->place.domain}].push_back(
+                each.record);
     for (const auto& each : m_table->table().rows())
     {
         place_route route{each, {}};
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -34,8 +34,8 @@
 
 bool has_left(const place_route& place, const std::vector<address>& avoid)
 {
-    return std::ranges::any_of(place.targets, [&](const member& each)
-                               { return is_left(each, avoid); });
+    return std::ranges::any_of(place.targets, [&](const member_ptr& each)
+                               { return is_left(*each, avoid); });
 }
 
 } // namespace
@@ -48,10 +48,10 @@
         return 0;
     const auto well =
         std::ranges::count_if(place.targets,
-                              [&](const member& each)
+                              [&](const member_ptr& each)
                               {
                                   const auto seen =
-                                      standing(record_of(each.rpc, now), now);
+                                      standing(record_of(each->rpc, now), now);
                                   return seen.recent_failures < aside_share &&
                                          seen.recent_refusals < aside_share;
                               });
@@ -119,13 +119,13 @@
     const auto* place = choose_place(*route, avoid, now);
     if (place == nullptr)
         return std::nullopt;
-    std::vector<const member*> left;
+    std::vector<member_ptr> left;
     std::vector<target_standing> standings;
     for (const auto& each : place->targets)
-        if (is_left(each, avoid))
+        if (is_left(*each, avoid))
         {
-            left.push_back(&each);
-            standings.push_back(standing(record_of(each.rpc, now), now));
+            left.push_back(each);
+            standings.push_back(standing(record_of(each->rpc, now), now));
         }
     std::vector<std::size_t> usable;
     for (std::size_t i = 0; i < left.size(); ++i)
@@ -141,7 +141,7 @@
     for (const auto i : usable)
         offered.push_back(standings[i]);
     const auto picked = m_policy.choose(offered, m_turn++, m_random);
-    return chosen_target{*left[usable[picked]], place->limits};
+    return chosen_target{left[usable[picked]], place->limits};
 }
 
 void target_board::started(const address& owner)
--- a/tests/unit/routing.cpp
+++ b/tests/unit/routing.cpp
@@ -59,7 +59,7 @@
                      for (const auto& place : routes.find(service)->places)
                          for (const auto& target : place.targets)
                          {
-                             const auto* known = list.find(target.rpc);
+                             const auto* known = list.find(target->rpc);
                              RC_ASSERT(known != nullptr);
                              RC_ASSERT(takes_calls(*known));
                              RC_ASSERT(known->service == service);
@@ -76,18 +76,18 @@
         const auto now = steady_clock::now();
         std::map<std::string, int> places;
         for (int i = 0; i < 4000; ++i)
-            ++places[board.choose(routes, "s", {}, now)->owner.place.domain];
+            ++places[board.choose(routes, "s", {}, now)->owner->place.domain];
         CHECK(places["a"] > 2850);
         CHECK(places["a"] < 3150);
         const auto closed = make_routes(0, 1);
         for (int i = 0; i < 100; ++i)
-            CHECK(board.choose(closed, "s", {}, now)->owner.place.domain ==
+            CHECK(board.choose(closed, "s", {}, now)->owner->place.domain ==
                   "b");
         std::vector<address> tried;
         while (const auto next = board.choose(routes, "s", tried, now))
         {
-            CHECK(std::ranges::find(tried, next->owner.rpc) == tried.end());
-            tried.push_back(next->owner.rpc);
+            CHECK(std::ranges::find(tried, next->owner->rpc) == tried.end());
+            tried.push_back(next->owner->rpc);
         }
         CHECK(tried.size() == 6);
         CHECK_FALSE(board.choose(routes, "other", {}, now));
@@ -111,7 +111,7 @@
         }
     int to_slow = 0;
     for (int i = 0; i < 1000; ++i)
-        to_slow += board.choose(routes, "s", {}, now)->owner.rpc == slow;
+        to_slow += board.choose(routes, "s", {}, now)->owner->rpc == slow;
     CHECK(to_slow < 50);
     // If all look bad, all are used.
     for (std::uint16_t port = 1; port <= 5; port += 2)
