No retry elsewhere while every other target is full

Change: a call refused by a full owner is tried elsewhere only if another target may have a free place, by the owners' last word. The budget stays as the bound for the rest.

--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -56,6 +56,16 @@
                                         const std::vector<address>& avoid,
                                         time_point now);
 
+    /**
+     * @return whether a target of @p service other than @p avoid may have a
+     * free place, as far as owners have told. If none has, a refused call
+     * tried elsewhere would only add to the load.
+     */
+    bool has_room(const route_view& routes,
+                  const std::string& service,
+                  const std::vector<address>& avoid,
+                  time_point now);
+
     /** A call to @p owner begins. */
     void started(const address& owner);
 
--- a/src/node/entry_proxy.cpp
+++ b/src/node/entry_proxy.cpp
@@ -198,6 +198,10 @@
         if (!may_try_again(call, context, chosen->limits, result))
             return result;
         tried.push_back(chosen->owner->rpc);
+        const bool was_full = result.load && *result.load >= 1;
+        if (was_full && !m_targets.has_room(*now_routes, context.service, tried,
+                                            steady_clock::now()))
+            return result;
     }
     return result;
 }
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -144,6 +144,28 @@
     return chosen_target{left[usable[picked]], place->limits};
 }
 
+bool target_board::has_room(const route_view& routes,
+                            const std::string& service,
+                            const std::vector<address>& avoid,
+                            time_point now)
+{
+    const auto* route = routes.find(service);
+    if (route == nullptr)
+        return false;
+    const std::lock_guard lock(m_mutex);
+    const auto free = [&](const member_ptr& each)
+    {
+        return is_left(*each, avoid) &&
+               standing(record_of(each->rpc, now), now).owner_load < 1;
+    };
+    return std::ranges::any_of(route->places,
+                               [&](const place_route& each) {
+                                   return each.limits.weight > 0 &&
+                                          std::ranges::any_of(each.targets,
+                                                              free);
+                               });
+}
+
 void target_board::started(const address& owner)
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/unit/routing.cpp
+++ b/tests/unit/routing.cpp
@@ -121,6 +121,26 @@
     CHECK(board.choose(routes, "s", {}, now));
 }
 
+TEST_CASE("with every other target full there is no room to try again")
+{
+    target_board board(**find_policy("two_choices"), 5);
+    const auto routes = make_routes(1, 1);
+    const auto now = steady_clock::now();
+    const auto fill = [&](std::uint16_t port, double load)
+    {
+        board.ended({"127.0.0.1", port}, call_verdict::refused, milliseconds(1),
+                    load, now);
+    };
+    CHECK(board.has_room(routes, "s", {}, now));
+    for (std::uint16_t port = 1; port <= 6; ++port)
+        fill(port, 3);
+    CHECK_FALSE(board.has_room(routes, "s", {}, now));
+    fill(4, 0.5);
+    CHECK(board.has_room(routes, "s", {}, now));
+    CHECK_FALSE(board.has_room(routes, "s", {{"127.0.0.1", 4}}, now));
+    CHECK_FALSE(board.has_room(routes, "other", {}, now));
+}
+
 TEST_CASE("ambiguous framing is found")
 {
     request_head head;
