A budget that is spent is shown as spent

Cause: the burn page, looked at as a picture in a browser, showed a budget of "-24900%". Change: a negative one is shown as "spent".

--- a/apps/tiller/burn_report.cpp
+++ b/apps/tiller/burn_report.cpp
@@ -35,6 +35,12 @@
     return out.str();
 }
 
+std::string budget_text(const json::value& row)
+{
+    const double left = number(row, "budget_left");
+    return left < 0 ? "spent" : fixed(100 * left, 0) + "%";
+}
+
 std::string began_text(const json::value& row)
 {
     if (number(row, "began_minutes_ago") < 0)
@@ -63,8 +69,7 @@
                          fixed(number(row, "within_ms"), 0) + "ms"
                   << std::setw(9) << fixed(number(row, "calls"), 0)
                   << std::setw(7) << fixed(number(row, "bad"), 0)
-                  << std::setw(26) << burn << std::setw(9)
-                  << fixed(100 * number(row, "budget_left"), 0) + "%"
+                  << std::setw(26) << burn << std::setw(9) << budget_text(row)
                   << std::setw(8) << text(row, "alarm") << began_text(row)
                   << "\n";
     }
@@ -132,9 +137,8 @@
              << fixed(number(row, "answered_percent"), 2) << "% in "
              << fixed(number(row, "within_ms"), 0) << " ms<td>"
              << fixed(number(row, "calls"), 0) << "<td>"
-             << fixed(number(row, "bad"), 0) << "<td>"
-             << fixed(100 * number(row, "budget_left"), 0) << "%<td>"
-             << fixed(number(row, "p50_ms")) << " / "
+             << fixed(number(row, "bad"), 0) << "<td>" << budget_text(row)
+             << "<td>" << fixed(number(row, "p50_ms")) << " / "
              << fixed(number(row, "p99_ms")) << "<td>" << burn_bars(row)
              << "<td>" << text(row, "alarm") << "<td>"
              << escaped(began_text(row)) << "</tr>";
