Not run is not said when an earlier try may have run

Cause, found in reading: a call that may be repeated was passed to a target that reset the connection, then to one that refused it, and the caller was told of the last try only: not run, though it had run.

Change: once a try may have run, a later refusal ends in outcome unknown.

--- a/include/tillerhall/node/entry_proxy.hpp
+++ b/include/tillerhall/node/entry_proxy.hpp
@@ -38,6 +38,8 @@
     relay_result answer_claim(inbound_call& call,
                               const call_context& context,
                               const claim_answer& claimed);
+    relay_result
+    try_each(inbound_call& call, call_context& context, bool& may_have_run);
     bool must_be_claimed(const inbound_call& call,
                          const call_context& context) const;
     relay_result attempt(inbound_call& call,
--- a/src/node/entry_proxy.cpp
+++ b/src/node/entry_proxy.cpp
@@ -164,6 +164,21 @@
 }
 
 relay_result entry_proxy::try_targets(inbound_call& call, call_context& context)
+{
+    bool may_have_run = false;
+    auto result = try_each(call, context, may_have_run);
+    if (!may_have_run || result.end != relay_end::not_run)
+        return result;
+    // The last try did not run, but the call may have run in an earlier one.
+    result.end = relay_end::unknown;
+    result.detail =
+        "an earlier try may have run; the last one: " + result.detail;
+    return result;
+}
+
+relay_result entry_proxy::try_each(inbound_call& call,
+                                   call_context& context,
+                                   bool& may_have_run)
 {
     relay_result result;
     result.end = relay_end::not_run;
@@ -191,6 +206,7 @@
                 .add();
         const auto begin = steady_clock::now();
         result = attempt(call, context, *chosen);
+        may_have_run = may_have_run || result.end == relay_end::unknown;
         context.attempts.push_back({chosen->owner->rpc.text(),
                                     chosen->owner->place.domain,
                                     std::string(name_of(result.end)),
--- a/tests/integration/calls.cpp
+++ b/tests/integration/calls.cpp
@@ -142,6 +142,38 @@
         });
 }
 
+TEST_CASE("not run is not said when an earlier try may have run")
+{
+    on_worker(
+        [](worker& on)
+        {
+            cluster_options options;
+            for (int i = 0; i < 3; ++i)
+                options.placements.push_back({"oogstbeurs", "polder-a"});
+            options.placements.push_back({"perceel", "polder-a"});
+            started_cluster system(on, options);
+            accept_with(system, 1, {{"retry_percent", "100"}});
+            system.set_target(0, {{"reset_before_answer", 1000}});
+            system.set_target(1, {{"shed", 1}});
+            system.set_target(2, {{"shed", 1}});
+            std::map<std::string, std::string> told;
+            for (int i = 0; i < 60; ++i)
+            {
+                // A caller of its own each time: nothing learned is kept out.
+                const auto id = "mixed-" + std::to_string(i);
+                caller from(on.io(), system.nodes()[i % 4].caller);
+                told[id] = from.call({"oogstbeurs", id}).outcome;
+            }
+            const auto runs = all_runs(system);
+            CHECK_FALSE(runs.empty());
+            for (const auto& [id, outcome] : told)
+                if (runs.contains(id))
+                    CHECK(outcome == "outcome-unknown");
+                else
+                    CHECK(outcome == "not-run");
+        });
+}
+
 TEST_CASE("neither a target nor a caller can forge the mesh's word")
 {
     on_worker(
