Malformed contents of the platform are told, not acted on

Cause, found in reading: an accept item that is no number threw out of a fiber, which ends the process. Ruled out: head, history and tables, which were read with care already. Change: it is a corrupt error like the others, and an operator request whose handler throws is answered 500 and counted.

--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -105,7 +105,16 @@
     if (known->guarded && !is_authorized(request))
         return respond(error(error_code::unauthorized,
                              request.path + " needs the operator token"));
-    return (this->*known->handle)(request);
+    try
+    {
+        return (this->*known->handle)(request);
+    }
+    catch (const std::exception& failed)
+    {
+        m_mesh.board.metrics.get("tillerhall_api_errors_total").add();
+        return respond(error(error_code::internal_error,
+                             request.path + ": " + failed.what()));
+    }
 }
 
 bool operator_api::is_authorized(const http_request& request) const
--- a/src/platform/table_store.cpp
+++ b/src/platform/table_store.cpp
@@ -146,7 +146,14 @@
         return item.reason();
     if (!item->has_value())
         return std::optional<std::uint64_t>{};
-    return std::optional<std::uint64_t>(std::stoull((*item)->value));
+    try
+    {
+        return std::optional<std::uint64_t>(std::stoull((*item)->value));
+    }
+    catch (const std::exception& failed)
+    {
+        return malformed(accept_prefix + accept_id, failed);
+    }
 }
 
 result<bool> table_store::commit(const table_head& expected,
