--- a/benchmark/claims.cpp
+++ b/benchmark/claims.cpp
@@ -25,14 +25,11 @@
     built.settings["target.slots"] = "100";
     built.behaviour = R"({"slots":100,"service_ms":1})";
     harness::cluster system(on, built);
-    if (const auto started = system.start(); !started)
+    if (const auto started = system.start_with_table(); !started)
     {
         say(started.reason().message());
         return 1;
     }
-    if (!system.accept(0, system.default_table(), 0, "first") ||
-        !system.wait_for_version(1))
-        return 1;
     load_plan plan;
     plan.rate = options["rate"].as<double>();
     plan.length = std::chrono::duration_cast<duration>(
--- a/benchmark/convergence.cpp
+++ b/benchmark/convergence.cpp
@@ -45,14 +45,10 @@
 
     result<json::object> run()
     {
-        if (const auto started = m_system.start(); !started)
+        if (const auto started = m_system.start_with_table(); !started)
             return started.reason();
         const auto count = m_system.nodes().size();
         m_table = m_system.default_table();
-        const auto first = m_system.accept(0, m_table, 0, "first");
-        if (!first || !m_system.wait_for_version(1))
-            return error(error_code::timed_out,
-                         "the first table did not settle");
         settle();
         const auto idle_begin = sample_fleet(m_system);
         sleep_for(m_worker.io(),
--- a/benchmark/drain.cpp
+++ b/benchmark/drain.cpp
@@ -24,14 +24,11 @@
     built.placements.push_back({"perceel", "polder-a"});
     built.settings["log.level"] = "warn";
     harness::cluster system(on, built);
-    if (const auto started = system.start(); !started)
+    if (const auto started = system.start_with_table(); !started)
     {
         say(started.reason().message());
         return 1;
     }
-    if (!system.accept(0, system.default_table(), 0, "first") ||
-        !system.wait_for_version(1))
-        return 1;
     load_plan plan;
     plan.rate = std::min(400.0, options["rate"].as<double>());
     plan.length = std::chrono::duration_cast<duration>(
--- a/benchmark/harness/cluster.hpp
+++ b/benchmark/harness/cluster.hpp
@@ -71,6 +71,9 @@
     /** Starts everything and waits until every node is ready. */
     result<void> start();
 
+    /** Starts everything and accepts the default table as version 1. */
+    result<void> start_with_table();
+
     std::vector<node_process>& nodes() noexcept { return m_nodes; }
     std::vector<process>& targets() noexcept { return m_targets; }
     process& platform_process() noexcept { return m_platform; }
--- a/benchmark/harness/cluster_operations.cpp
+++ b/benchmark/harness/cluster_operations.cpp
@@ -14,6 +14,21 @@
 
 } // namespace
 
+result<void> cluster::start_with_table()
+{
+    if (auto started = start(); !started)
+        return started;
+    const auto accepted = accept(0, default_table(), 0, "first");
+    if (!accepted)
+        return accepted.reason();
+    if (!accepted->contains("version"))
+        return error(error_code::conflict, json::serialize(*accepted));
+    if (!wait_for_version(1))
+        return error(error_code::timed_out, "version 1 did not settle",
+                     "look into the logs in " + folder());
+    return {};
+}
+
 result<json::object> cluster::get(const address& from, const std::string& path)
 {
     auto& client = m_clients[from];
--- a/benchmark/requests.cpp
+++ b/benchmark/requests.cpp
@@ -56,12 +56,9 @@
 
     result<json::object> run()
     {
-        if (auto started = m_system.start(); !started)
+        if (auto started = m_system.start_with_table(); !started)
             return started.reason();
         const auto table = m_system.default_table();
-        if (!m_system.accept(0, table, 0, "first") ||
-            !m_system.wait_for_version(1))
-            return error(error_code::not_ready, "no first version");
         // Fills the pools and warms both ways.
         load(m_rate / 2, std::chrono::seconds(1), direct(), nullptr);
         load(m_rate / 2, std::chrono::seconds(1), mesh(), nullptr);
--- a/benchmark/slopes.cpp
+++ b/benchmark/slopes.cpp
@@ -146,11 +146,8 @@
         built.settings["target.health_ms"] = "5000";
         built.settings["log.level"] = "warn";
         harness::cluster system(on, built);
-        if (auto started = system.start(); !started)
+        if (auto started = system.start_with_table(); !started)
             return started;
-        if (!system.accept(0, system.default_table(), 0, "first") ||
-            !system.wait_for_version(1))
-            return error(error_code::timed_out, "no first version");
         sleep_for(on.io(), std::chrono::seconds(8));
         const auto begin = sample_fleet(system);
         sleep_for(on.io(),
--- a/benchmark/storm.cpp
+++ b/benchmark/storm.cpp
@@ -88,14 +88,12 @@
     built.settings["target.health_ms"] = "5000";
     built.settings["log.level"] = "warn";
     harness::cluster system(on, built);
-    if (const auto started = system.start(); !started)
+    if (const auto started = system.start_with_table(); !started)
     {
         say(started.reason().message());
         return 1;
     }
     const auto table = system.default_table();
-    if (!system.accept(0, table, 0, "first") || !system.wait_for_version(1))
-        return 1;
     storm_watch watch(system);
     watch.look(1);
     const auto count = system.nodes().size();
--- a/tests/support/system.hpp
+++ b/tests/support/system.hpp
@@ -31,15 +31,10 @@
     started_cluster(worker& on, const cluster_options& options)
         : cluster(on, options)
     {
-        const auto started = start();
+        const auto started = start_with_table();
         INFO((started ? "" : started.reason().message()));
         REQUIRE(started);
         m_csv = default_table();
-        const auto accepted = accept(0, m_csv, 0, "first");
-        REQUIRE(accepted);
-        INFO(boost::json::serialize(*accepted));
-        REQUIRE(accepted->contains("version"));
-        REQUIRE(wait_for_version(1));
     }
 
     const std::string& csv() const { return m_csv; }
