Twenty bodies of a gigabyte at once, measured

Cause: bounded memory was tested with bodies of 40 MB only. Change: an experiment that uploads many large bodies at once and watches the nodes' memory. Answers of that size are not measured yet.

--- a/benchmark/experiment.hpp
+++ b/benchmark/experiment.hpp
@@ -49,6 +49,7 @@
 int run_requests(worker& on, const cxxopts::ParseResult& options);
 int run_claims(worker& on, const cxxopts::ParseResult& options);
 int run_slopes(worker& on, const cxxopts::ParseResult& options);
+int run_bodies(worker& on, const cxxopts::ParseResult& options);
 int run_drain(worker& on, const cxxopts::ParseResult& options);
 
 } // namespace tillerhall::bench
--- a/benchmark/tiller_bench.cpp
+++ b/benchmark/tiller_bench.cpp
@@ -23,6 +23,8 @@
     experiment{"storm", "many nodes killed and back at once", run_storm},
     experiment{"requests", "what the mesh adds to a call, by policy",
                run_requests},
+    experiment{"bodies", "large bodies at once, and the nodes' memory",
+               run_bodies},
     experiment{"drain", "a node leaves under load", run_drain},
     experiment{"claims", "keyed calls: claims a second and their writes",
                run_claims},
@@ -58,6 +60,10 @@
         cxxopts::value<double>()->default_value("10"))(
         "policy", "a policy's name, or all",
         cxxopts::value<std::string>()->default_value("all"))(
+        "bodies", "bodies at once",
+        cxxopts::value<std::size_t>()->default_value("20"))(
+        "megabytes", "size of each body",
+        cxxopts::value<std::size_t>()->default_value("1000"))(
         "output", "file for the points of slopes",
         cxxopts::value<std::string>()->default_value("slopes.csv"))(
         "faults", "cause faults meanwhile")("h,help", "show this");
