The harness sends and reads a request in one place

Cause: get and post of a running system repeated the client's look-up and the reading of the answer. Change: both go through one function.

--- a/benchmark/harness/cluster.hpp
+++ b/benchmark/harness/cluster.hpp
@@ -135,6 +135,7 @@
     std::string default_table() const;
 
 private:
+    result<boost::json::object> send(const address& to, const api_call& made);
     result<void> start_platform();
     result<void> start_targets();
     result<void> start_node(std::size_t index, bool again);
--- a/benchmark/harness/cluster_operations.cpp
+++ b/benchmark/harness/cluster_operations.cpp
@@ -31,29 +31,22 @@
 
 result<json::object> cluster::get(const address& from, const std::string& path)
 {
-    auto& client = m_clients[from];
-    if (!client)
-        client = std::make_unique<api_client>(m_worker.io(), from);
-    const auto response = client->call("GET", path, "", call_timeout);
-    if (!response)
-        return response.reason();
-    boost::system::error_code failed;
-    auto value = json::parse(response->body, failed);
-    if (failed || !value.is_object())
-        return error(error_code::protocol_error, response->body);
-    value.as_object()["http_status"] = response->status;
-    return std::move(value.as_object());
+    return send(from, {"GET", path});
 }
 
 result<json::object> cluster::post(const address& to,
                                    const std::string& path,
                                    const json::object& body)
+{
+    return send(to, {"POST", path, json::serialize(body), m_token});
+}
+
+result<json::object> cluster::send(const address& to, const api_call& made)
 {
     auto& client = m_clients[to];
     if (!client)
         client = std::make_unique<api_client>(m_worker.io(), to);
-    const auto response = client->call("POST", path, json::serialize(body),
-                                       call_timeout, m_token);
+    const auto response = client->send(made, call_timeout);
     if (!response)
         return response.reason();
     boost::system::error_code failed;
