Planned stops refuse at their end; the queue serves what is due first; shed where runs fail

Clients come for as long as few nodes of a domain are ready. Second cause: at an overloaded service calls that targets make were refused (short objective, short wait limit), and the runs that made them failed after taking a slot.

Change: a stop serves 3 s, then refuses as not run and ends with its last call. A target whose runs fail sheds a share of its calls. A failed run is tried elsewhere only while under a fifth of the service's runs fail.

Ruled out: SIGTERM handled late (the line "leaving" came within 1 ms).

--- a/include/tillerhall/node/blackboard.hpp
+++ b/include/tillerhall/node/blackboard.hpp
@@ -24,11 +24,18 @@
     joining,
     ready,
     resuming, ///< after a pause, until it has heard the present
-    leaving
+    leaving,  ///< told to stop; what comes is still served
+    ending    ///< only what runs is finished; what comes is refused
 };
 
 std::string_view name_of(node_phase phase) noexcept;
 
+/** @return whether a node in @p phase was told to stop. */
+inline bool is_stopping(node_phase phase) noexcept
+{
+    return phase >= node_phase::leaving;
+}
+
 /**
  * Immutable views, counters and the phase of one node. Controllers on the
  * first worker write the views; any worker reads them.
--- a/include/tillerhall/node/call_admission.hpp
+++ b/include/tillerhall/node/call_admission.hpp
@@ -17,6 +17,7 @@
     std::string caller; ///< service that calls, for fairness
     time_point deadline{};
     std::uint32_t rank = 0;               ///< urgency; 0 goes first
+    time_point due{};                     ///< by which an answer is worth most
     duration most_wait = duration::max(); ///< refused if it would be more
     cancel_scope* scope = nullptr;        ///< ends the wait, if given
 };
--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -46,6 +46,13 @@
     whole_response refuse(const request_fault& fault) const;
 
 private:
+    /** What this node has seen of one service. */
+    struct service_record
+    {
+        fleet_budget budget;
+        double failing = 0; ///< decaying share of runs that ended in failure
+    };
+
     /** One call and what became of it so far. */
     struct call_state
     {
@@ -69,6 +76,7 @@
     bool may_try_again(const call_state& state,
                        const owner_answer& last,
                        const cancel_scope& scope);
+    bool helps_elsewhere(const call_state& state, const owner_answer& last);
     bool take_budget(const std::string& service, const owner_answer& last);
     void note_end(const call_state& state,
                   const owner_answer& answer,
@@ -80,7 +88,7 @@
                            const std::string& detail,
                            const std::string& id) const;
     whole_response not_found(const std::string& id) const;
-    whole_response no_routes(const std::string& id) const;
+    whole_response not_taken(const std::string& id, const char* why) const;
 
     const entry_settings& m_config;
     const wire_names& m_names;
@@ -90,7 +98,7 @@
     unreachable m_report;
     stream_pool m_pool;
     share_sequence m_shares;
-    std::map<std::string, fleet_budget> m_budgets; ///< by service
+    std::map<std::string, service_record> m_services;
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -33,7 +33,7 @@
     call_kind kind = call_kind::once;
     std::uint32_t rank = 0;
     time_point deadline{};
-    duration most_wait{}; ///< for a place; refused if it would be longer
+    duration objective{}; ///< within which an answer is worth most
 };
 
 /** What became of it. */
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -8,6 +8,7 @@
 #include "tillerhall/node/call_admission.hpp"
 #include "tillerhall/proxy/owner_answer.hpp"
 #include "tillerhall/proxy/wire_names.hpp"
+#include "tillerhall/routing/failure_shedder.hpp"
 #include "tillerhall/targets/target_register.hpp"
 
 namespace tillerhall
@@ -70,6 +71,8 @@
     stream_pool m_pool;
     target_lost m_lost;
     bool m_up = true;
+    failure_shedder m_shedder;
+    random_source m_random{entropy_seed()};
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/routing/admission.hpp
+++ b/include/tillerhall/routing/admission.hpp
@@ -42,6 +42,7 @@
     std::string caller;     ///< service that calls, for fairness
     std::uint32_t rank = 0; ///< urgency; 0 goes first
     time_point deadline{};
+    time_point due{}; ///< within a rank and caller the earliest goes first
     bool granted = false;
     bool expired = false;
     std::function<void()> wake; ///< called once, when granted or expired
@@ -53,10 +54,10 @@
  * Free slots go to the most urgent rank that waits, but every few grants to
  * the next one, so that none starves. Within a rank they go to the callers'
  * services in turn, so that one service with many calls waiting cannot starve
- * the rest. A call whose deadline leaves no time for the mean run is refused
- * instead of run in vain, and so is one that would wait longer than it may.
- * Pure but for the wake functions; not safe for threads, see
- * `call_admission`.
+ * the rest, and of one caller's calls the one that is due first. A call whose
+ * deadline leaves no time for the mean run is refused instead of run in vain,
+ * and so is one that would wait longer than it may. Pure but for the wake
+ * functions; not safe for threads, see `call_admission`.
  */
 class admission
 {
--- a/src/node/blackboard.cpp
+++ b/src/node/blackboard.cpp
@@ -7,8 +7,8 @@
 
 std::string_view name_of(node_phase phase) noexcept
 {
-    constexpr std::array<std::string_view, 4> names{"joining", "ready",
-                                                    "resuming", "leaving"};
+    constexpr std::array<std::string_view, 5> names{
+        "joining", "ready", "resuming", "leaving", "ending"};
     return names[static_cast<std::size_t>(phase)];
 }
 
--- a/src/node/call_admission.cpp
+++ b/src/node/call_admission.cpp
@@ -24,6 +24,7 @@
             std::min(asked.deadline, now + m_admission.limits().queue_wait));
         waiter.caller = asked.caller;
         waiter.rank = asked.rank;
+        waiter.due = asked.due;
         waiter.deadline = asked.deadline;
         // The timer outlives the call: the wake may come after the wait.
         waiter.wake = [&io, timer]
--- a/src/node/entry_proxy.cpp
+++ b/src/node/entry_proxy.cpp
@@ -101,7 +101,7 @@
                              ? bad_request(431, "the head is over 16 KB")
                              : bad_request(400, "the head is malformed"));
         keep_alive = status == head_status::ok && call.can_keep_alive() &&
-                     m_board.phase != node_phase::leaving;
+                     !is_stopping(m_board.phase);
     }
 }
 
--- a/src/node/membership_controller.cpp
+++ b/src/node/membership_controller.cpp
@@ -75,7 +75,7 @@
 void membership_controller::resume()
 {
     auto& board = m_mesh.board;
-    if (board.phase == node_phase::leaving)
+    if (is_stopping(board.phase))
         return;
     const auto before = board.phase.exchange(node_phase::resuming);
     board.decisions.note("resuming", m_mesh.members.self().rpc.text(),
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -17,11 +17,16 @@
 {
 
 // Readiness is asked each second and a node is taken out after two refusals;
-// clients come until then.
-constexpr milliseconds least_stop(3'200);
+// clients come until then, and longer where few nodes of a domain are left.
+constexpr milliseconds serve_while_leaving(3'000);
+// After the last call that was taken, so that its refusals get through.
+constexpr milliseconds least_ending(200);
 // What is left of the grace for the last answers to get through.
 constexpr milliseconds stop_margin(600);
 constexpr milliseconds drain_check(50);
+// Of a short grace this part at most is for serving what comes.
+constexpr int serve_part = 3;
+constexpr int serve_whole = 5;
 // Between nodes nothing bounds a call but its own deadline.
 constexpr std::size_t peer_head_bytes = 64 * 1024;
 constexpr std::size_t peer_body_bytes = 128 * 1024 * 1024;
@@ -136,8 +141,7 @@
 
     void compose_sessions()
     {
-        const auto ending = [this]
-        { return board.phase == node_phase::leaving; };
+        const auto ending = [this] { return is_stopping(board.phase); };
         const auto refuse = [this](const request_fault& fault)
         { return entry->refuse(fault); };
         client_host = {
@@ -200,7 +204,7 @@
     http_response answer_ready(const http_request& request)
     {
         const bool known = routes->known() && directory->is_loaded();
-        const bool leaving = board.phase == node_phase::leaving;
+        const bool leaving = is_stopping(board.phase);
         if (request.path != adapter.ready_path)
             return respond(404, {{"detail", "no such path"}});
         return respond(known && !leaving ? 200 : 503,
@@ -281,7 +285,13 @@
                           milliseconds(static_cast<std::int64_t>(
                               config.stop_grace_s * 1000)) -
                           stop_margin;
-        while (steady_clock::now() < std::min(begin + least_stop, last) ||
+        const auto serve_until = std::min<time_point>(
+            begin + serve_while_leaving,
+            begin + (last - begin) * serve_part / serve_whole);
+        while (steady_clock::now() < serve_until)
+            sleep_for(on.io(), drain_check);
+        board.phase = node_phase::ending;
+        while (steady_clock::now() < serve_until + least_ending ||
                (calls_here() > 0 && steady_clock::now() < last))
             sleep_for(on.io(), drain_check);
         board.decisions.note("stopped", config.advertise_rpc.text(),
--- a/src/node/owner_proxy.cpp
+++ b/src/node/owner_proxy.cpp
@@ -95,8 +95,8 @@
         return refuse("no_row_for_this_place");
     const auto deadline = std::min(
         context.deadline, context.start + milliseconds(limits->timeout_ms));
-    const auto verdict =
-        m_places.acquire(m_worker.io(), {context.caller, deadline});
+    const auto verdict = m_places.acquire(
+        m_worker.io(), {.caller = context.caller, .deadline = deadline});
     if (verdict != admission_verdict::run)
         return refuse(std::string(name_of(verdict)));
     ++m_board.calls_in_flight;
--- a/src/node/target_controller.cpp
+++ b/src/node/target_controller.cpp
@@ -36,7 +36,7 @@
     {
         const auto before = m_mesh.members.self();
         const auto found = check_once();
-        if (m_mesh.board.phase == node_phase::leaving)
+        if (is_stopping(m_mesh.board.phase))
             return;
         if (found != before.target_is)
         {
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -28,13 +28,14 @@
 constexpr milliseconds least_time_left(5);
 // Owners asked that refuse before their target saw the call.
 constexpr std::size_t most_owners = 4;
-// A place is waited for at most this part of the objective, as a target that
-// is late by more than the rest answers late anyway.
-constexpr int wait_part = 2;
 constexpr std::int64_t longest_time_left_ms = 3'600'000;
-constexpr milliseconds retry_without_routes(200);
+constexpr milliseconds retry_elsewhere(200);
 constexpr milliseconds retry_without_target(100);
 constexpr milliseconds least_retry(20);
+// Weight of the newest run in the share that fails; some 20 count.
+constexpr double newest_share = 0.05;
+// One target of six that fails each second run stays below this.
+constexpr double failing_everywhere = 0.2;
 
 std::optional<milliseconds> time_left_of(std::string_view text)
 {
@@ -63,16 +64,22 @@
            whole;
 }
 
-call_verdict verdict_of(const owner_answer& answer)
+/** @return whether the target answered with a failure of its own. */
+bool is_failure(const owner_answer& answer)
 {
     constexpr unsigned server_errors = 500;
+    return answer.end == call_end::answered &&
+           answer.response->result_int() >= server_errors;
+}
+
+call_verdict verdict_of(const owner_answer& answer)
+{
     if (answer.end == call_end::not_run)
         return answer.reached || answer.told.load ? call_verdict::refused
                                                   : call_verdict::failed;
     if (answer.end == call_end::cancelled)
         return call_verdict::refused; // says nothing about the target
-    const bool good = answer.end == call_end::answered &&
-                      answer.response->result_int() < server_errors;
+    const bool good = answer.end == call_end::answered && !is_failure(answer);
     return good ? call_verdict::good : call_verdict::failed;
 }
 
@@ -120,11 +127,11 @@
     return problem(fault.status, "the request was refused", fault.detail, "");
 }
 
-whole_response call_entry::no_routes(const std::string& id) const
+whole_response call_entry::not_taken(const std::string& id,
+                                     const char* why) const
 {
-    auto response =
-        problem(503, "the call did not run", "this node has no routes yet", id);
-    response.set(http::field::retry_after, seconds_text(retry_without_routes));
+    auto response = problem(503, "the call did not run", why, id);
+    response.set(http::field::retry_after, seconds_text(retry_elsewhere));
     return response;
 }
 
@@ -145,7 +152,9 @@
         return refuse({400, "the field " + m_names.request_id + " is missing"});
     const auto routes = m_board.call_map.get();
     if (routes->version() == 0)
-        return no_routes(id);
+        return not_taken(id, "this node has no routes yet");
+    if (m_board.phase == node_phase::ending)
+        return not_taken(id, "this node ends");
     state.route = routes->find(message[http::field::host], message.target());
     if (state.route == nullptr)
         return not_found(id);
@@ -159,10 +168,9 @@
         request.received +
         std::min<duration>(route.timeout,
                            left.value_or(milliseconds(longest_time_left_ms)));
-    state.call.most_wait =
-        (route.objective > milliseconds::zero() ? route.objective
-                                                : route.timeout) /
-        wait_part;
+    state.call.objective = route.objective > milliseconds::zero()
+                               ? route.objective
+                               : route.timeout;
     remove_hop_fields(message);
     ++m_board.calls_in_flight;
     auto answer = lead(request, state, scope);
@@ -181,8 +189,8 @@
     last.end = call_end::not_run;
     last.reason = "no target of this service takes work";
     last.retry_after = retry_without_target;
-    m_budgets[service].call(m_config.budget,
-                            m_board.targets.get()->live_members());
+    m_services[service].budget.call(m_config.budget,
+                                    m_board.targets.get()->live_members());
     while (true)
     {
         const auto view = m_board.targets.get();
@@ -205,29 +213,35 @@
                              const owner_answer& last)
 {
     // A call that no target has seen costs the budget nothing.
-    return !last.reached || m_budgets[service].take();
+    return !last.reached || m_services[service].budget.take();
 }
 
 bool call_entry::may_try_again(const call_state& state,
                                const owner_answer& last,
                                const cancel_scope& scope)
 {
-    constexpr unsigned server_errors = 500;
     if (scope.is_cancelled() ||
         steady_clock::now() + least_time_left >= state.call.deadline)
         return false;
     if (state.targets_reached >= state.route->most_targets ||
         state.tried.size() + 1 >= most_owners)
         return false;
-    const bool repeatable = state.call.kind == call_kind::repeatable;
-    bool again = last.end == call_end::not_run;
-    if (last.end == call_end::unknown)
-        again = repeatable;
-    if (last.end == call_end::answered)
-        again = repeatable && last.response->result_int() >= server_errors;
-    if (!again)
+    return helps_elsewhere(state, last) &&
+           take_budget(state.call.service, last);
+}
+
+bool call_entry::helps_elsewhere(const call_state& state,
+                                 const owner_answer& last)
+{
+    if (last.end == call_end::not_run)
+        return true;
+    if (state.call.kind != call_kind::repeatable)
         return false;
-    return take_budget(state.call.service, last);
+    if (last.end == call_end::unknown)
+        return true;
+    // Where runs fail at every target, another one would fail as well.
+    return is_failure(last) &&
+           m_services[state.call.service].failing < failing_everywhere;
 }
 
 owner_answer call_entry::try_one(received_request& request,
@@ -245,6 +259,11 @@
                     now);
     if (answer.reached)
         ++state.targets_reached;
+    if (answer.end == call_end::answered)
+    {
+        auto& failing = m_services[state.call.service].failing;
+        failing += ((is_failure(answer) ? 1 : 0) - failing) * newest_share;
+    }
     state.may_have_run = state.may_have_run ||
                          answer.end == call_end::unknown ||
                          answer.end == call_end::timed_out;
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -16,7 +16,7 @@
     "answered", "not_run", "unknown", "timed_out", "cancelled"};
 constexpr std::array call_fields{
     hop_field::service, hop_field::kind,         hop_field::rank,
-    hop_field::origin,  hop_field::time_left_ms, hop_field::most_wait_ms};
+    hop_field::origin,  hop_field::time_left_ms, hop_field::objective_ms};
 constexpr std::array answer_fields{hop_field::end,           hop_field::reached,
                                    hop_field::load,          hop_field::run_ms,
                                    hop_field::slots,         hop_field::reason,
@@ -70,7 +70,7 @@
     request.set(hop_field::rank, std::to_string(call.rank));
     request.set(hop_field::time_left_ms, std::to_string(std::max<std::int64_t>(
                                              0, to_ms(call.deadline - now))));
-    request.set(hop_field::most_wait_ms, std::to_string(to_ms(call.most_wait)));
+    request.set(hop_field::objective_ms, std::to_string(to_ms(call.objective)));
 }
 
 std::optional<owner_call> take_hop_fields(received_request& request,
@@ -84,15 +84,16 @@
     const auto kind = number_in<unsigned>(message[hop_field::kind]);
     const auto rank = number_in<std::uint32_t>(message[hop_field::rank]);
     const auto left = number_in<std::int64_t>(message[hop_field::time_left_ms]);
-    const auto wait = number_in<std::int64_t>(message[hop_field::most_wait_ms]);
+    const auto objective =
+        number_in<std::int64_t>(message[hop_field::objective_ms]);
     constexpr auto last_kind = static_cast<unsigned>(call_kind::large_once);
     if (call.request_id.empty() || call.service.empty() || !kind ||
-        *kind > last_kind || !rank || !left || !wait)
+        *kind > last_kind || !rank || !left || !objective)
         return std::nullopt;
     call.kind = static_cast<call_kind>(*kind);
     call.rank = *rank;
     call.deadline = request.received + milliseconds(*left);
-    call.most_wait = milliseconds(*wait);
+    call.objective = milliseconds(*objective);
     for (const auto* name : call_fields)
         message.erase(name);
     return call;
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -23,6 +23,13 @@
 constexpr std::int64_t most_waiting = 512;
 constexpr std::chrono::seconds longest_wait(60);
 constexpr unsigned misdirected = 421;
+constexpr unsigned run_failed = 500;
+// A place is waited for at most this part of the objective, as a target that
+// is late by more than the rest answers late anyway.
+constexpr int wait_part = 2;
+// Calls with a short objective go first in the queue, so that what is ahead
+// of them is less than the whole; refused alike, no kind bears it alone.
+constexpr milliseconds least_most_wait(200);
 // Statuses by which a client is promised that its call did not run.
 constexpr std::array promising_statuses{408U, 421U, 429U, 503U};
 
@@ -97,9 +104,17 @@
         return refuse("no_target_takes_work");
     if (!m_up)
         return refuse("target_down");
+    if (m_board.phase == node_phase::ending)
+        return refuse("node_ending");
+    if (m_shedder.sheds(m_random.unit()))
+        return refuse("runs_fail_further_down");
     const auto verdict = m_places.acquire(
-        m_worker.io(), {std::to_string(call.rank), call.deadline, call.rank,
-                        call.most_wait, &scope});
+        m_worker.io(), {.deadline = call.deadline,
+                        .rank = call.rank,
+                        .due = steady_clock::now() + call.objective,
+                        .most_wait = std::max<duration>(
+                            least_most_wait, call.objective / wait_part),
+                        .scope = &scope});
     if (scope.is_cancelled())
     {
         if (verdict == admission_verdict::run)
@@ -123,6 +138,8 @@
                           ? steady_clock::now() - begin
                           : m_places.mean_run();
     m_places.release(took);
+    if (answer.end == call_end::answered)
+        m_shedder.ran(answer.response->result_int() == run_failed);
     answer.told = word();
     return answer;
 }
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -80,7 +80,11 @@
 void admission::enqueue(admission_waiter& waiter)
 {
     auto& queue = m_ranks[waiter.rank];
-    queue.callers[waiter.caller].push_back(waiter);
+    auto& waiting = queue.callers[waiter.caller];
+    const auto behind =
+        std::ranges::find_if(waiting, [&](const admission_waiter& each)
+                             { return each.due > waiter.due; });
+    waiting.insert(behind, waiter);
     ++queue.waiting;
     ++m_waiting;
 }
