--- a/include/tillerhall/membership/member.hpp
+++ b/include/tillerhall/membership/member.hpp
@@ -66,6 +66,13 @@
 /** @return whether @p offered says something newer than @p known. */
 bool supersedes(const member& offered, const member& known) noexcept;
 
+/**
+ * Adds @p left to the starts of @p to's target that have left: once true, it
+ * stays true, whichever boot of the node told it. The newest eight are kept.
+ * @return whether any was not known.
+ */
+bool add_left_targets(member& to, const std::vector<std::string>& left);
+
 /** @return whether calls may be sent to this member's target. */
 bool takes_calls(const member& checked) noexcept;
 
--- a/include/tillerhall/membership/member_list.hpp
+++ b/include/tillerhall/membership/member_list.hpp
@@ -111,6 +111,7 @@
         time_point changed{};
     };
 
+    merge_result merge_self(const member& offered);
     void store(const member& stored);
     static std::size_t bucket_of(const address& node);
 
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -1,6 +1,7 @@
 #include "tillerhall/membership/member.hpp"
 #include "tillerhall/core/digest.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 
@@ -77,6 +78,24 @@
     return offered.state > known.state;
 }
 
+bool add_left_targets(member& to, const std::vector<std::string>& left)
+{
+    constexpr std::size_t most_kept = 8;
+    std::vector<std::string> missing;
+    std::ranges::copy_if(left, std::back_inserter(missing),
+                         [&](const std::string& id) {
+                             return std::ranges::find(to.left_targets, id) ==
+                                    to.left_targets.end();
+                         });
+    // What the record itself tells is newer.
+    to.left_targets.insert(to.left_targets.begin(), missing.begin(),
+                           missing.end());
+    if (to.left_targets.size() > most_kept)
+        to.left_targets.erase(to.left_targets.begin(),
+                              to.left_targets.end() - most_kept);
+    return !missing.empty();
+}
+
 bool takes_calls(const member& checked) noexcept
 {
     return checked.state == member_state::alive &&
--- a/src/membership/member_list.cpp
+++ b/src/membership/member_list.cpp
@@ -38,27 +38,33 @@
 
 merge_result member_list::merge(const member& offered)
 {
+    if (offered.rpc == m_self)
+        return merge_self(offered);
     const auto* known = find(offered.rpc);
     if (known != nullptr && !supersedes(offered, *known))
         return merge_result::unchanged;
     // A dead record of a forgotten node would come and go for ever.
     if (known == nullptr && offered.state == member_state::dead)
         return merge_result::unchanged;
-    if (offered.rpc != m_self)
-    {
-        store(offered);
-        return merge_result::changed;
-    }
+    auto taken = offered;
+    // A new boot may not know yet what its earlier one told.
+    if (known != nullptr)
+        add_left_targets(taken, known->left_targets);
+    store(taken);
+    return merge_result::changed;
+}
+
+merge_result member_list::merge_self(const member& offered)
+{
     // Only this node writes its own record: raise it above the other one.
     auto raised = self();
-    raised.incarnation = offered.incarnation + 1;
-    // What an earlier boot of this node told of its targets stays true.
-    for (const auto& id : offered.left_targets)
-        if (std::ranges::find(raised.left_targets, id) ==
-            raised.left_targets.end())
-            raised.left_targets.push_back(id);
+    const bool accused = supersedes(offered, raised);
+    const bool learned = add_left_targets(raised, offered.left_targets);
+    if (!accused && !learned)
+        return merge_result::unchanged;
+    raised.incarnation = std::max(offered.incarnation, raised.incarnation) + 1;
     store(raised);
-    return merge_result::refute;
+    return accused ? merge_result::refute : merge_result::changed;
 }
 
 merge_result member_list::accuse(const address& node, member_state as)
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -134,8 +134,7 @@
         membership->add_methods();
         routes->add_methods();
         owner->set_target_lost([this] { reporter->target_lost(); });
-        mesh->routes_changed = [this](const route_view&)
-        { board.targets.set(new service_targets(mesh->members)); };
+        mesh->routes_changed = [this](const route_view&) { publish_targets(); };
         compose_sessions();
     }
 
@@ -187,7 +186,17 @@
         on.spawn([this] { wait_for_reload(); });
     }
 
-    void members_loaded() { reporter->marks_loaded(); }
+    void publish_targets()
+    {
+        board.targets.set(new service_targets(mesh->members));
+    }
+
+    void members_loaded()
+    {
+        reporter->marks_loaded();
+        // Readiness follows at once, so the targets must be there by then.
+        publish_targets();
+    }
 
     void become_ready()
     {
--- /dev/null
+++ b/standins/platform_standin/reporting_target.cpp
@@ -0,0 +1,158 @@
+#include "platform_standin/reporting_target.hpp"
+
+#include "tillerhall/core/await.hpp"
+#include "tillerhall/http/whole_message.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <sstream>
+
+namespace tillerhall
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+
+constexpr const char* id_field = "X-Request-Attempt-Id";
+constexpr const char* proof_field = "X-Response-Seal";
+constexpr std::chrono::minutes idle_timeout(5);
+constexpr std::chrono::seconds report_timeout(3);
+
+void reset(tcp_stream& stream)
+{
+    boost::system::error_code ignored;
+    stream.socket().set_option(boost::asio::socket_base::linger(true, 0),
+                               ignored);
+    stream.socket().close(ignored);
+}
+
+std::string text_of(const whole_response& response)
+{
+    std::ostringstream text;
+    text << response;
+    return text.str();
+}
+
+} // namespace
+
+reporting_target::reporting_target(worker& on,
+                                   std::string id,
+                                   std::string service)
+    : m_worker(on)
+    , m_listener(std::move(*listener::open(on, {"127.0.0.1", 0})))
+    , m_id(std::move(id))
+    , m_service(std::move(service))
+{
+    m_listener->start([this](tcp_stream& stream) { serve(stream); });
+}
+
+bool reporting_target::take(unsigned& trick)
+{
+    if (trick == 0)
+        return false;
+    --trick;
+    return true;
+}
+
+void reporting_target::start_again(std::string id)
+{
+    m_id = std::move(id);
+    m_sequence = 0;
+}
+
+unsigned reporting_target::report(const address& to, const std::string& state)
+{
+    return report(to, state, ++m_sequence);
+}
+
+unsigned reporting_target::report(const address& to,
+                                  const std::string& state,
+                                  std::uint64_t sequence)
+{
+    const boost::json::object body{
+        {"service", m_service}, {"address", where().text()},
+        {"zone", "d1"},         {"version", "v1"},
+        {"slots", 4},           {"state", state},
+        {"coldRemaining", 0},   {"sequence", sequence}};
+    api_client client(m_worker.io(), to);
+    const auto answer =
+        client.call("POST", "/instances/" + m_id + "/heartbeat",
+                    boost::json::serialize(body), report_timeout);
+    return answer ? answer->status : 0;
+}
+
+unsigned reporting_target::leave(const address& to)
+{
+    api_client client(m_worker.io(), to);
+    const auto answer = client.call(
+        "POST", "/instances/" + m_id + "/deregister", "", report_timeout);
+    return answer ? answer->status : 0;
+}
+
+void reporting_target::serve(tcp_stream& stream)
+{
+    boost::beast::flat_buffer buffer;
+    while (stream.socket().is_open())
+    {
+        inbound_call call(stream, buffer);
+        stream.expires_after(idle_timeout);
+        if (call.read_head() != head_status::ok || !serve_one(call))
+            return;
+    }
+}
+
+bool reporting_target::serve_one(inbound_call& call)
+{
+    if (call.head()["X-Expect-Instance"] != m_id)
+        return call.read_prefix() && send(call, 421, true);
+    if (take(m_tricks.early_answers))
+    {
+        m_runs.push_back({std::string(call.head()[id_field]), "", "", "", ""});
+        return send(call, 200, false) && call.read_prefix();
+    }
+    if (!call.read_prefix())
+        return false;
+    if (take(m_tricks.shed))
+        return send(call, 503, true);
+    m_runs.push_back({std::string(call.head()[id_field]),
+                      std::string(call.head()["X-Caller-Service"]),
+                      std::string(call.head().target()), call.prefix(),
+                      std::string(call.head()["X-Deadline-Ms"])});
+    sleep_for(m_worker.io(), m_tricks.work);
+    if (take(m_tricks.reset_answers))
+    {
+        reset(call.stream());
+        return false;
+    }
+    return send(call, take(m_tricks.fail) ? 500 : 200, false);
+}
+
+bool reporting_target::send(inbound_call& call, unsigned status, bool not_run)
+{
+    whole_response response(static_cast<http::status>(status), 11);
+    response.set(id_field, call.head()[id_field]);
+    response.set("X-Instance-Id", m_id);
+    if (not_run)
+        response.set("X-Not-Executed", "1");
+    else if (!take(m_tricks.unproved_answers))
+        response.set(proof_field, "proof-" + m_id);
+    response.body() = "answer to " + std::string(call.head()[id_field]);
+    response.prepare_payload();
+    auto text = text_of(response);
+    const bool cut = take(m_tricks.short_answers);
+    if (cut)
+        text.resize(text.size() - 3);
+    else if (take(m_tricks.late_answers))
+        text += text;
+    boost::system::error_code failed;
+    call.stream().expires_after(idle_timeout);
+    boost::asio::async_write(call.stream(), boost::asio::buffer(text),
+                             await{failed});
+    if (cut)
+        reset(call.stream());
+    return !failed && !cut;
+}
+
+} // namespace tillerhall
--- /dev/null
+++ b/standins/platform_standin/reporting_target.hpp
@@ -0,0 +1,79 @@
+/** @file Stand-in for a target on the users' platform, for tests. */
+#pragma once
+
+#include "tillerhall/core/worker.hpp"
+#include "tillerhall/http/api_client.hpp"
+#include "tillerhall/http/inbound_call.hpp"
+#include "tillerhall/http/listener.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tillerhall
+{
+
+/** What it does with the next requests; counts go down with each. */
+struct target_tricks
+{
+    milliseconds work{2};          ///< time of one run
+    unsigned late_answers = 0;     ///< sends a second answer for so many
+    unsigned reset_answers = 0;    ///< runs, then resets
+    unsigned short_answers = 0;    ///< breaks the answer off in its body
+    unsigned unproved_answers = 0; ///< leaves out its proof
+    unsigned shed = 0;             ///< refuses, saying that it did not run
+    unsigned fail = 0;             ///< runs and answers 500
+    unsigned early_answers = 0;    ///< answers before it reads the body
+};
+
+/** One run of a request. */
+struct target_run
+{
+    std::string id;
+    std::string caller;
+    std::string path;
+    std::string body;
+    std::string time_left;
+};
+
+/** A target that reports to a node and answers with its proof. */
+class reporting_target
+{
+public:
+    reporting_target(worker& on, std::string id, std::string service);
+
+    const address& where() const { return m_listener->local(); }
+    const std::string& id() const noexcept { return m_id; }
+    target_tricks& tricks() noexcept { return m_tricks; }
+    const std::vector<target_run>& runs() const noexcept { return m_runs; }
+
+    /** A new start at the same address. */
+    void start_again(std::string id);
+
+    /** Reports "ready" or "draining". @return the status, 0 for none. */
+    unsigned report(const address& to, const std::string& state);
+
+    /** Reports with a sequence of the test's choice. */
+    unsigned
+    report(const address& to, const std::string& state, std::uint64_t sequence);
+
+    /** The last word before the end. @return the status, 0 for none. */
+    unsigned leave(const address& to);
+
+private:
+    void serve(tcp_stream& stream);
+    bool serve_one(inbound_call& call);
+    bool send(inbound_call& call, unsigned status, bool not_run);
+    static bool take(unsigned& trick);
+
+    worker& m_worker;
+    std::unique_ptr<listener> m_listener;
+    std::string m_id;
+    std::string m_service;
+    target_tricks m_tricks;
+    std::vector<target_run> m_runs;
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace tillerhall
--- /dev/null
+++ b/tests/integration/mesh_node.cpp
@@ -0,0 +1,429 @@
+/** @file The node of the users' platform: routes, targets, stops, restarts. */
+#include "mesh_system.hpp"
+
+using namespace tillerhall;
+using namespace tillerhall::harness;
+
+namespace
+{
+
+const std::vector<mesh_route> two_routes{
+    {"fields", "/fields/", "perceel"}, {"sales", "/sales/", "beurs", "unsafe"}};
+
+/** Two services with two targets each. */
+struct four_hosts : mesh_system
+{
+    explicit four_hosts(worker& on)
+        : mesh_system(on, {"perceel", "beurs", "perceel", "beurs"})
+    {
+        configure(1, two_routes);
+        start();
+        for (auto& from : hosts())
+            REQUIRE(wait_until(
+                [&]
+                {
+                    return call(from, "warm", "/fields/w").status == 200 &&
+                           call(from, "warm", "/sales/w", "x").status == 200;
+                }));
+    }
+
+    int runs_at(std::size_t host, const std::string& id)
+    {
+        int runs = 0;
+        for (const auto& each : hosts()[host].target->runs())
+            runs += each.id == id ? 1 : 0;
+        return runs;
+    }
+};
+
+std::string get(const std::string& id, const std::string& path)
+{
+    return "GET " + path +
+           " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Attempt-Id: " + id +
+           "\r\nX-Deadline-Ms: 2000\r\n\r\n";
+}
+
+} // namespace
+
+TEST_CASE("requests reach the service of their route, once, as they were sent")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            for (int i = 0; i < 40; ++i)
+            {
+                const auto id = "r-" + std::to_string(i);
+                auto& from = system.hosts()[static_cast<std::size_t>(i) % 4];
+                const auto answer =
+                    system.call(from, id, "/sales/a?b=" + id, "body-" + id);
+                CHECK(answer.status == 200);
+                CHECK(answer.proved);
+                CHECK(answer.body == "answer to " + id);
+                CHECK(system.runs_of(id) == 1);
+            }
+            for (auto& host : system.hosts())
+                for (const auto& run : host.target->runs())
+                    if (run.id.starts_with("r-"))
+                    {
+                        CHECK(host.service == "beurs");
+                        CHECK(run.path == "/sales/a?b=" + run.id);
+                        CHECK(run.body == "body-" + run.id);
+                        CHECK(
+                            (run.caller == "beurs" || run.caller == "perceel"));
+                        CHECK(std::stoi(run.time_left) <= 2500);
+                    }
+        });
+}
+
+TEST_CASE("two changes of the configuration take hold, bad ones never do")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            auto& from = system.hosts()[0];
+            CHECK(system.call(from, "n-1", "/new/x").status == 404);
+            auto routes = two_routes;
+            routes.push_back({"new", "/new/", "perceel"});
+            system.configure(4, routes);
+            REQUIRE(system.wait_until(
+                [&]
+                { return system.call(from, "n-2", "/new/x").status == 200; }));
+            // Cut short, and older than what is in force.
+            auto cut = mesh_config(9, two_routes);
+            cut.resize(cut.size() / 2);
+            system.store().put("op", "", "config", cut);
+            system.configure(2, two_routes);
+            sleep_for(on.io(), milliseconds(1500));
+            CHECK(system.call(from, "n-3", "/new/x").status == 200);
+            routes.back().service = "beurs"; // moves to the other service
+            system.configure(10, routes);
+            REQUIRE(system.wait_until(
+                [&]
+                {
+                    system.call(from, "n-4", "/new/x");
+                    return system.runs_at(1, "n-4") + system.runs_at(3, "n-4") >
+                           0;
+                }));
+        });
+}
+
+TEST_CASE("without a configuration a request is not run, and not unknown")
+{
+    on_worker(
+        [](worker& on)
+        {
+            mesh_system system(on, {"perceel"});
+            system.start_node(system.hosts()[0]);
+            const auto answer =
+                system.call(system.hosts()[0], "x", "/fields/x");
+            CHECK(answer.status == 503);
+            CHECK_FALSE(answer.retry_after.empty());
+            CHECK_FALSE(system.is_ready(system.hosts()[0]));
+        });
+}
+
+TEST_CASE("a target that leaves gets no work, also after its node's restart")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            auto& host = system.hosts()[0];
+            REQUIRE(host.target->report(host.at["operators"], "draining") ==
+                    200);
+            for (int i = 0; i < 20; ++i)
+                CHECK(system
+                          .call(system.hosts()[1], "d-" + std::to_string(i),
+                                "/fields/x")
+                          .status == 200);
+            host.node.kill();
+            system.start_node(host);
+            REQUIRE(system.wait_until([&] { return system.is_ready(host); }));
+            // A report from before the leaving, late.
+            host.target->report(host.at["operators"], "ready", 1);
+            for (int i = 0; i < 20; ++i)
+                CHECK(system.call(host, "e-" + std::to_string(i), "/fields/x")
+                          .status == 200);
+            for (const auto& run : host.target->runs())
+                CHECK(run.id == "warm");
+            // The next start beside the same node is used.
+            host.target->start_again("i-next");
+            host.target->report(host.at["operators"], "ready");
+            CHECK(system.wait_until(
+                [&]
+                {
+                    system.call(host, "f", "/fields/x");
+                    return system.runs_at(0, "f") > 0;
+                }));
+        });
+}
+
+TEST_CASE("with the store away a leaving is kept by peers and binds a restart")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            auto& host = system.hosts()[0];
+            system.store().faults().down = true;
+            CHECK(host.target->report(host.at["operators"], "draining") == 200);
+            host.node.kill();
+            system.start_node(host);
+            host.target->report(host.at["operators"], "ready", 1);
+            // Peers know its address and hand over members and routes.
+            REQUIRE(system.wait_until([&] { return system.is_ready(host); }));
+            for (int i = 0; i < 20; ++i)
+                system.call(host, "e-" + std::to_string(i), "/fields/x");
+            for (const auto& run : host.target->runs())
+                CHECK(run.id == "warm");
+            CHECK(system.call(host, "g", "/fields/x").status == 200);
+        });
+}
+
+TEST_CASE("a leaving that nobody can keep is not acknowledged")
+{
+    on_worker(
+        [](worker& on)
+        {
+            mesh_system system(on, {"perceel"});
+            system.configure(1, two_routes);
+            system.start();
+            auto& host = system.hosts()[0];
+            system.store().faults().down = true;
+            CHECK(host.target->report(host.at["operators"], "draining") == 503);
+            CHECK(system.call(host, "x", "/fields/x").status == 503);
+            system.store().faults().down = false;
+            CHECK(system.wait_until(
+                [&] {
+                    return host.target->report(host.at["operators"],
+                                               "draining") == 200;
+                }));
+        });
+}
+
+TEST_CASE("a planned stop cuts no request and tells readiness at once")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            auto& host = system.hosts()[0];
+            for (auto& each : system.hosts())
+                each.target->tricks().work = milliseconds(400);
+            std::vector<seen_answer> answers(8);
+            std::vector<worker::task> tasks;
+            for (std::size_t i = 0; i < answers.size(); ++i)
+                tasks.emplace_back(
+                    [&, i]
+                    {
+                        answers[i] =
+                            system.call(host, "s-" + std::to_string(i),
+                                        i % 2 == 0 ? "/fields/x" : "/sales/x",
+                                        i % 2 == 0 ? "" : "body");
+                    });
+            tasks.emplace_back(
+                [&]
+                {
+                    sleep_for(on.io(), milliseconds(100));
+                    host.node.send(SIGTERM);
+                    CHECK(system.wait_until([&]
+                                            { return !system.is_ready(host); },
+                                            std::chrono::seconds(1)));
+                });
+            run_parallel(std::move(tasks));
+            for (std::size_t i = 0; i < answers.size(); ++i)
+            {
+                CHECK(answers[i].status == 200);
+                CHECK(system.runs_of("s-" + std::to_string(i)) == 1);
+            }
+            REQUIRE(system.wait_until([&] { return !host.node.is_running(); }));
+            CHECK(host.node.wait() == 0);
+            CHECK(system.call(system.hosts()[1], "after", "/fields/x").status ==
+                  200);
+        });
+}
+
+TEST_CASE("what may run once runs once, whatever its target does")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            unsigned target_tricks::*const table[] = {
+                &target_tricks::reset_answers, &target_tricks::short_answers,
+                &target_tricks::unproved_answers, &target_tricks::fail};
+            int number = 0;
+            for (const auto trick : table)
+                for (std::size_t from = 0; from < 4; ++from)
+                {
+                    for (const std::size_t beurs : {1U, 3U})
+                        system.hosts()[beurs].target->tricks().*trick = 1;
+                    const auto id = "o-" + std::to_string(++number);
+                    const auto answer = system.call(system.hosts()[from], id,
+                                                    "/sales/x", "body");
+                    CHECK(answer.status >= 500);
+                    CHECK(answer.status != 503);
+                    CHECK(system.runs_of(id) == 1);
+                    for (const std::size_t beurs : {1U, 3U})
+                        system.hosts()[beurs].target->tricks().*trick = 0;
+                }
+        });
+}
+
+TEST_CASE("a refusal by a target is tried elsewhere and never doubled")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            for (int i = 0; i < 30; ++i)
+            {
+                system.hosts()[i % 2 == 0 ? 1U : 3U].target->tricks().shed = 1;
+                const auto id = "t-" + std::to_string(i);
+                const auto answer =
+                    system.call(system.hosts()[static_cast<std::size_t>(i) % 4],
+                                id, "/sales/x", "body");
+                CHECK(system.runs_of(id) == (answer.status == 200 ? 1 : 0));
+                CHECK((answer.status == 200 || answer.status == 503));
+            }
+        });
+}
+
+TEST_CASE("late second answers and early ones reach nobody else")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            for (int i = 0; i < 60; ++i)
+            {
+                for (auto& host : system.hosts())
+                {
+                    host.target->tricks().late_answers = i % 3 == 0 ? 1 : 0;
+                    host.target->tricks().early_answers = i % 5 == 0 ? 1 : 0;
+                }
+                const auto id = "l-" + std::to_string(i);
+                const auto answer =
+                    system.call(system.hosts()[static_cast<std::size_t>(i) % 4],
+                                id, "/sales/x", std::string(200'000, 'x'));
+                CHECK(answer.status == 200);
+                CHECK(answer.body == "answer to " + id);
+                CHECK(system.runs_of(id) == 1);
+            }
+        });
+}
+
+TEST_CASE("pipelined requests run at once and are answered in order")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            for (auto& host : system.hosts())
+                host.target->tricks().work = milliseconds(300);
+            std::string bytes;
+            for (int i = 0; i < 6; ++i)
+                bytes += get("p-" + std::to_string(i), "/fields/x");
+            const auto begin = steady_clock::now();
+            const auto text = raw_exchange(on, system.hosts()[1].at["caller"],
+                                           bytes, std::chrono::seconds(2));
+            std::size_t at = 0;
+            for (int i = 0; i < 6; ++i)
+            {
+                at = text.find("answer to p-" + std::to_string(i), at);
+                REQUIRE(at != std::string::npos);
+            }
+            CHECK(steady_clock::now() - begin < std::chrono::seconds(3));
+            for (int i = 0; i < 6; ++i)
+                CHECK(system.runs_of("p-" + std::to_string(i)) == 1);
+        });
+}
+
+TEST_CASE("what is no proper request is refused by the limits in force")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            const auto at = system.hosts()[0].at["caller"];
+            const std::string head =
+                "POST /sales/x HTTP/1.1\r\nHost: "
+                "shop.example\r\nX-Request-Attempt-Id: b\r\n";
+            struct bad_request
+            {
+                std::string bytes;
+                std::string status;
+            };
+            const std::vector<bad_request> table{
+                {"nonsense\r\n\r\n", " 400 "},
+                {"GET /fields/x HTTP/1.1\r\nHost: shop.example\r\n\r\n",
+                 " 400 "},
+                {head + "Content-Length: 2000000\r\n\r\n", " 413 "},
+                {head + "X-Long: " + std::string(20'000, 'x') + "\r\n\r\n",
+                 " 431 "},
+                {head +
+                     "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+                 " 400 "},
+                {head + "Host: other.example\r\nContent-Length: 0\r\n\r\n",
+                 " 400 "},
+            };
+            for (const auto& each : table)
+            {
+                const auto text =
+                    raw_exchange(on, at, each.bytes, std::chrono::seconds(1));
+                INFO(each.bytes.substr(0, 120));
+                CHECK(text.substr(0, 20).find(each.status) !=
+                      std::string::npos);
+            }
+            CHECK(system.runs_of("b") == 0);
+        });
+}
+
+TEST_CASE("lost answers and a lost history of the store do no harm")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            system.store().faults().lose_answers = 3;
+            auto& host = system.hosts()[2];
+            CHECK(host.target->report(host.at["operators"], "draining") == 200);
+            system.store().drop_history();
+            auto routes = two_routes;
+            routes.push_back({"new", "/new/", "perceel"});
+            system.configure(5, routes);
+            system.store().drop_history();
+            for (auto& from : system.hosts())
+                CHECK(system.wait_until(
+                    [&] {
+                        return system.call(from, "h", "/new/x").status == 200;
+                    }));
+            CHECK(system.runs_at(2, "h") == 0);
+        });
+}
+
+TEST_CASE("SIGHUP reads the settings again and cuts nothing")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            auto& host = system.hosts()[0];
+            for (auto& each : system.hosts())
+                each.target->tricks().work = milliseconds(300);
+            seen_answer answer;
+            run_parallel({[&] { answer = system.call(host, "u", "/fields/x"); },
+                          [&]
+                          {
+                              sleep_for(on.io(), milliseconds(100));
+                              host.node.send(SIGHUP);
+                              std::ofstream(host.settings_path) << "broken: [";
+                              host.node.send(SIGHUP);
+                          }});
+            CHECK(answer.status == 200);
+            CHECK(host.node.is_running());
+            CHECK(system.call(host, "v", "/fields/x").status == 200);
+        });
+}
--- /dev/null
+++ b/tests/platform/decoders.cpp
@@ -0,0 +1,202 @@
+/** @file The adapter's decoders: the platform's messages as our types. */
+#include "config_decoder.hpp"
+#include "report_decoder.hpp"
+#include "store_client.hpp"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+
+using namespace tillerhall;
+namespace json = boost::json;
+
+namespace
+{
+
+json::object good_config()
+{
+    return json::parse(R"({"version":7,
+        "routes":[
+          {"name":"r1","host":"a.example","pathPrefix":"/x/","kind":"unsafe",
+           "timeout":1500,"targetLatency":500,"priority":1,"service":"s1",
+           "maxAttempts":2},
+          {"name":"r2","host":"b.example","pathPrefix":"/","kind":"safe",
+           "timeout":1200,"targetLatency":400,"priority":2,"maxAttempts":3,
+           "trafficSplit":[{"service":"s1","weight":90},
+                           {"service":"s2","weight":10}]}],
+        "services":[{"name":"s1","healthCheckPath":"/health"},
+                    {"name":"s2","healthCheckPath":"/health"}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,
+                  "headerTimeout":3000,"idleTimeout":15000}})")
+        .as_object();
+}
+
+http_request report_request(const std::string& path, const std::string& body)
+{
+    http_request request;
+    request.method = "POST";
+    request.path = path;
+    request.body = body;
+    return request;
+}
+
+json::object good_report()
+{
+    return json::parse(R"({"service":"s1","address":"10.0.0.9:8080",
+        "zone":"d1","version":"v1","slots":12,"state":"ready",
+        "coldRemaining":250,"sequence":4})")
+        .as_object();
+}
+
+} // namespace
+
+TEST_CASE("a configuration becomes routes")
+{
+    const auto routes = platform::decode_routes(json::serialize(good_config()));
+    REQUIRE(routes);
+    CHECK((*routes)->version() == 7);
+    CHECK((*routes)->limits().body_bytes == 1000);
+    const auto* once = (*routes)->find("a.example", "/x/1");
+    REQUIRE(once != nullptr);
+    CHECK(once->kind == call_kind::once);
+    CHECK(once->timeout == milliseconds(1500));
+    CHECK(once->objective == milliseconds(500));
+    CHECK(once->rank == 1);
+    CHECK(once->most_targets == 2);
+    const auto* split = (*routes)->find("b.example", "/anything");
+    REQUIRE(split != nullptr);
+    CHECK(split->kind == call_kind::repeatable);
+    REQUIRE(split->shares.size() == 2);
+    CHECK(split->shares[1].service == "s2");
+    CHECK(split->shares[1].weight == 10);
+}
+
+TEST_CASE("a configuration with a fault is refused whole and the fault named")
+{
+    struct fault
+    {
+        const char* named;
+        std::function<void(json::object&)> make;
+    };
+    const auto route = [](json::object& config, int index) -> json::object&
+    {
+        return config["routes"]
+            .as_array()[static_cast<std::size_t>(index)]
+            .as_object();
+    };
+    const std::vector<fault> table{
+        {"version", [](json::object& c) { c.erase("version"); }},
+        {"version", [](json::object& c) { c["version"] = 0; }},
+        {"routes", [](json::object& c) { c.erase("routes"); }},
+        {"services", [](json::object& c) { c.erase("services"); }},
+        {"limits", [](json::object& c) { c.erase("limits"); }},
+        {"kind", [&](json::object& c) { route(c, 0)["kind"] = "odd"; }},
+        {"timeout", [&](json::object& c) { route(c, 0).erase("timeout"); }},
+        {"timeout", [&](json::object& c) { route(c, 0)["timeout"] = -1; }},
+        {"unknown service",
+         [&](json::object& c) { route(c, 0)["service"] = "s9"; }},
+        {"maxAttempts",
+         [&](json::object& c) { route(c, 0)["maxAttempts"] = 0; }},
+        {"weight",
+         [&](json::object& c) {
+             route(c, 1)["trafficSplit"].as_array()[0].as_object()["weight"] =
+                 -5;
+         }},
+        {"weight",
+         [&](json::object& c) {
+             route(c, 1)["trafficSplit"].as_array()[0].as_object().erase(
+                 "weight");
+         }},
+    };
+    for (const auto& each : table)
+    {
+        auto config = good_config();
+        each.make(config);
+        const auto routes = platform::decode_routes(json::serialize(config));
+        INFO(each.named);
+        REQUIRE_FALSE(routes);
+        CHECK(routes.reason().detail().find(each.named) != std::string::npos);
+    }
+}
+
+TEST_CASE("a configuration that is cut short at any byte is refused")
+{
+    const auto text = json::serialize(good_config());
+    for (std::size_t size = 0; size < text.size(); ++size)
+        CHECK_FALSE(platform::decode_routes(text.substr(0, size)));
+}
+
+TEST_CASE("a report becomes the project's type")
+{
+    const auto read = platform::decode_report(report_request(
+        "/instances/i-7/heartbeat", json::serialize(good_report())));
+    REQUIRE(read);
+    REQUIRE(*read);
+    const auto& report = **read;
+    CHECK(report.id == "i-7");
+    CHECK(report.where.text() == "10.0.0.9:8080");
+    CHECK(report.slots == 12);
+    CHECK(report.state == report_state::ready);
+    CHECK(report.sequence == 4);
+    CHECK(report.cold_for == milliseconds(250));
+    CHECK(report.release == "v1");
+}
+
+TEST_CASE("the last word of a target needs no body")
+{
+    const auto read = platform::decode_report(
+        report_request("/instances/i-7/deregister", ""));
+    REQUIRE(read);
+    REQUIRE(*read);
+    CHECK((**read).id == "i-7");
+    CHECK((**read).state == report_state::leaving);
+}
+
+TEST_CASE("malformed reports are refused, other requests are none")
+{
+    for (const auto* member : {"service", "address", "zone", "version", "slots",
+                               "state", "coldRemaining", "sequence"})
+    {
+        auto body = good_report();
+        body.erase(member);
+        const auto read = platform::decode_report(
+            report_request("/instances/i-7/heartbeat", json::serialize(body)));
+        REQUIRE(read);
+        CHECK_FALSE(*read);
+        CHECK(read->reason().detail().find(member) != std::string::npos);
+    }
+    const auto text = json::serialize(good_report());
+    for (std::size_t size = 0; size < text.size(); ++size)
+    {
+        const auto read = platform::decode_report(
+            report_request("/instances/i-7/heartbeat", text.substr(0, size)));
+        REQUIRE(read);
+        CHECK_FALSE(*read);
+    }
+    CHECK_FALSE(platform::decode_report(report_request("/metrics", "")));
+    CHECK_FALSE(
+        platform::decode_report(report_request("/instances//heartbeat", "")));
+    auto get = report_request("/instances/i-7/heartbeat", text);
+    get.method = "GET";
+    CHECK_FALSE(platform::decode_report(get));
+}
+
+TEST_CASE("rows of the store are decoded, malformed ones refused")
+{
+    const auto page = platform::decode_rows(
+        R"({"rows":[{"table":"t","part":"p","key":"k","value":"bm9kZS0x","ver":4},
+            {"table":"t","part":"","key":"g","ver":5,"tombstone":true}],
+            "morePages":true,"ver":9,"now":51230})");
+    REQUIRE(page);
+    REQUIRE(page->rows.size() == 2);
+    CHECK(page->rows[0].name == row_name{"t", "p", "k"});
+    CHECK(page->rows[0].value == "node-1");
+    CHECK(page->rows[0].revision == 4);
+    CHECK(page->rows[1].removed);
+    CHECK(page->more);
+    CHECK(page->revision == 9);
+    for (const auto* bad : {"", "[]", R"({"rows":7})", R"({"rows":[{}]})",
+                            R"({"rows":[{"table":"t","part":"p","key":"k",
+                                "value":"%%%%","ver":4}]})"})
+        CHECK_FALSE(platform::decode_rows(bad));
+}
--- /dev/null
+++ b/tests/support/mesh_system.hpp
@@ -0,0 +1,265 @@
+/** @file Nodes of the users' platform as processes; store and targets here. */
+#pragma once
+
+#include "system.hpp"
+
+#include "platform_standin/reporting_target.hpp"
+#include "platform_standin/store_standin.hpp"
+#include "tillerhall/core/await.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+namespace tillerhall::harness
+{
+
+/**
+ * Keeps @p made to the end of the process: fibers that serve its connections
+ * still wait on the worker when the test is over.
+ */
+template <class T>
+T& keep_for_fibers(std::shared_ptr<T> made)
+{
+    // Never destroyed: ending it would end streams that fibers wait on.
+    static auto& kept = *new std::vector<std::shared_ptr<void>>;
+    kept.push_back(made);
+    return *made;
+}
+
+/** A route of a test's configuration. */
+struct mesh_route
+{
+    std::string name;
+    std::string prefix;
+    std::string service;
+    std::string kind = "safe";
+    int timeout_ms = 3000;
+    int most_targets = 2;
+};
+
+/** @return the configuration's row; every route is of host shop.example. */
+inline std::string mesh_config(int version, const std::vector<mesh_route>& all)
+{
+    boost::json::array routes;
+    std::set<std::string> names;
+    for (const auto& each : all)
+    {
+        routes.push_back(
+            boost::json::object{{"name", each.name},
+                                {"host", "shop.example"},
+                                {"pathPrefix", each.prefix},
+                                {"kind", each.kind},
+                                {"timeout", each.timeout_ms},
+                                {"targetLatency", 1000},
+                                {"priority", 1},
+                                {"service", each.service},
+                                {"maxAttempts", each.most_targets}});
+        names.insert(each.service);
+    }
+    boost::json::array services;
+    for (const auto& each : names)
+        services.push_back(boost::json::object{{"name", each}});
+    return boost::json::serialize(
+        boost::json::object{{"version", version},
+                            {"routes", routes},
+                            {"services", services},
+                            {"limits",
+                             {{"maxHeaderBytes", 16384},
+                              {"maxBodyBytes", 1'000'000},
+                              {"headerTimeout", 3000},
+                              {"idleTimeout", 15000}}}});
+}
+
+/** One node and the target beside it. */
+struct mesh_host
+{
+    process node;
+    std::string service;
+    std::string domain;
+    std::string settings_path;
+    reporting_target* target = nullptr; ///< kept for its fibers
+    std::map<std::string, address> at;  ///< by the name of the listener
+};
+
+/** An answer as a client sees it. */
+struct seen_answer
+{
+    unsigned status = 0; ///< 0: the connection ended without a whole answer
+    std::string body;
+    bool proved = false;
+    std::string retry_after;
+};
+
+/** Store, nodes and targets; everything ends with the object. */
+class mesh_system
+{
+public:
+    mesh_system(worker& on, const std::vector<std::string>& services)
+        : m_worker(on)
+        , m_store(keep_for_fibers(std::make_shared<store_standin>(on)))
+    {
+        std::string pattern =
+            std::filesystem::temp_directory_path() / "tillerhall-mesh-XXXXXX";
+        m_folder = ::mkdtemp(pattern.data());
+        for (const auto& service : services)
+            add_host(service);
+    }
+
+    ~mesh_system()
+    {
+        for (auto& each : m_hosts)
+            each.node.kill();
+        if (std::getenv("TILLERHALL_KEEP") == nullptr)
+            std::filesystem::remove_all(m_folder);
+    }
+
+    store_standin& store() noexcept { return m_store; }
+    std::vector<mesh_host>& hosts() noexcept { return m_hosts; }
+
+    void configure(int version, const std::vector<mesh_route>& routes)
+    {
+        m_store.put("op", "", "config", mesh_config(version, routes));
+    }
+
+    /** Starts every node and waits until each knows all of the targets. */
+    void start()
+    {
+        for (auto& each : m_hosts)
+            start_node(each);
+        for (auto& each : m_hosts)
+            REQUIRE(wait_until([&] { return is_ready(each); }));
+        for (auto& each : m_hosts)
+            REQUIRE(each.target->report(each.at["operators"], "ready") == 200);
+    }
+
+    /** Starts a node, at its old addresses if it ran before. */
+    void start_node(mesh_host& host)
+    {
+        write_settings(host);
+        const auto started =
+            host.node.start({program_folder() + "/tillerhall-node",
+                             "--log-to-stderr", "--config", host.settings_path},
+                            host.settings_path + ".log");
+        REQUIRE(started);
+        const auto line = host.node.read_listening();
+        REQUIRE(line);
+        for (const auto* name : {"rpc", "peer", "caller", "operators", "ready"})
+            host.at[name] = *address::parse(line->at(name).as_string().c_str());
+    }
+
+    bool wait_until(const std::function<bool()>& holds,
+                    duration limit = std::chrono::seconds(20))
+    {
+        const auto until = steady_clock::now() + limit;
+        while (!holds())
+        {
+            if (steady_clock::now() > until)
+                return false;
+            sleep_for(m_worker.io(), milliseconds(10));
+        }
+        return true;
+    }
+
+    bool is_ready(mesh_host& host)
+    {
+        api_client client(m_worker.io(), host.at["ready"]);
+        const auto answer =
+            client.call("GET", "/ready", "", std::chrono::seconds(2));
+        return answer && answer->status == 200;
+    }
+
+    /** Sends one request through @p host. */
+    seen_answer call(mesh_host& host,
+                     const std::string& id,
+                     const std::string& path,
+                     const std::string& body = {},
+                     int time_left_ms = 2500)
+    {
+        api_client client(m_worker.io(), host.at["caller"]);
+        api_call made{
+            body.empty() ? "GET" : "POST", path, body, "", "shop.example", {}};
+        made.fields = {{"X-Request-Attempt-Id", id},
+                       {"X-Deadline-Ms", std::to_string(time_left_ms)}};
+        const auto answer = client.send(made, std::chrono::seconds(8));
+        if (!answer)
+            return {};
+        return {answer->status, answer->body,
+                answer->fields.contains("X-Response-Seal"),
+                answer->fields.contains("Retry-After")
+                    ? answer->fields.at("Retry-After")
+                    : ""};
+    }
+
+    /** @return how often @p id ran at any target. */
+    int runs_of(const std::string& id) const
+    {
+        int runs = 0;
+        for (const auto& host : m_hosts)
+            for (const auto& each : host.target->runs())
+                runs += each.id == id ? 1 : 0;
+        return runs;
+    }
+
+    worker& on() noexcept { return m_worker; }
+
+private:
+    void add_host(const std::string& service)
+    {
+        const auto index = std::to_string(m_hosts.size());
+        mesh_host made;
+        made.service = service;
+        made.domain = "d" + std::to_string(m_hosts.size() % 3);
+        made.settings_path = m_folder + "/node-" + index + ".yaml";
+        made.target = &keep_for_fibers(std::make_shared<reporting_target>(
+            m_worker, "i-" + index, service));
+        m_hosts.push_back(std::move(made));
+    }
+
+    void write_settings(mesh_host& host)
+    {
+        std::ofstream file(host.settings_path);
+        file << "node:\n";
+        for (const auto* name : {"rpc", "peer", "caller", "operators", "ready"})
+            file << "  " << name << ": "
+                 << (host.at.contains(name) ? host.at[name].text()
+                                            : "127.0.0.1:0")
+                 << "\n";
+        const auto store = m_store.where().text();
+        file << "  region: r\n  domain: " << host.domain
+             << "\n  stop_grace_s: 4\ntarget:\n  service: " << host.service
+             << "\n  address: " << host.target->where().text()
+             << "\nplatform:\n  tables: " << store << "\n  objects: " << store
+             << "\n  hosts: " << store
+             << "\nmesh:\n  heartbeat_ms: 150\n  suspect_ms: 1000\n";
+    }
+
+    worker& m_worker;
+    store_standin& m_store;
+    std::string m_folder;
+    std::vector<mesh_host> m_hosts;
+};
+
+/** Sends raw bytes and @return all that comes until the end or @p limit. */
+inline std::string raw_exchange(worker& on,
+                                const address& to,
+                                const std::string& bytes,
+                                duration limit = std::chrono::seconds(3))
+{
+    auto stream = connect_stream(on.io(), to, std::chrono::seconds(5));
+    REQUIRE(stream);
+    boost::system::error_code failed;
+    (*stream)->expires_after(limit);
+    boost::asio::async_write(**stream, boost::asio::buffer(bytes),
+                             await{failed});
+    std::string answer;
+    boost::asio::async_read(**stream, boost::asio::dynamic_buffer(answer),
+                            await{failed});
+    return answer;
+}
+
+} // namespace tillerhall::harness
--- /dev/null
+++ b/tests/unit/fleet_budget.cpp
@@ -0,0 +1,99 @@
+#include "tillerhall/routing/fleet_budget.hpp"
+#include "tillerhall/routing/failure_shedder.hpp"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <rapidcheck/catch.h>
+
+using namespace tillerhall;
+
+namespace
+{
+
+/** Calls and second sends of the whole fleet, one entry a time slot. */
+struct fleet_slot
+{
+    double calls = 0;
+    double sends = 0;
+};
+
+} // namespace
+
+TEST_CASE("the fleet's second sends keep the bound in every window")
+{
+    rc::prop("with nodes that know only some of the others, and restarts",
+             []
+             {
+                 const auto nodes =
+                     static_cast<std::size_t>(*rc::gen::inRange(3, 300));
+                 const auto known = static_cast<std::size_t>(
+                     *rc::gen::inRange<int>(static_cast<int>(nodes + 1) / 2,
+                                            static_cast<int>(nodes) + 1));
+                 fleet_budget_limits limits;
+                 limits.extra = 5.0 * static_cast<double>(nodes);
+                 std::vector<fleet_budget> budgets(nodes);
+                 std::vector<fleet_slot> slots;
+                 const auto length = *rc::gen::inRange(5, 30);
+                 for (int i = 0; i < length; ++i)
+                 {
+                     fleet_slot slot;
+                     const auto busy = *rc::gen::inRange(0, 20);
+                     for (auto& each : budgets)
+                     {
+                         if (*rc::gen::inRange(0, 50) == 0)
+                             each = fleet_budget();
+                         for (int call = 0; call < busy; ++call)
+                         {
+                             each.call(limits, known);
+                             slot.calls += 1;
+                             slot.sends += each.take() ? 1 : 0;
+                         }
+                     }
+                     slots.push_back(slot);
+                 }
+                 for (std::size_t from = 0; from < slots.size(); ++from)
+                 {
+                     double calls = 0;
+                     double sends = 0;
+                     for (std::size_t to = from; to < slots.size(); ++to)
+                     {
+                         calls += slots[to].calls;
+                         sends += slots[to].sends;
+                         RC_ASSERT(sends <=
+                                   limits.ratio * calls + limits.extra + 1e-6);
+                     }
+                 }
+             });
+}
+
+TEST_CASE("a budget begins empty and gains with calls")
+{
+    fleet_budget budget;
+    CHECK_FALSE(budget.take());
+    for (int i = 0; i < 11; ++i)
+        budget.call({}, 1);
+    CHECK(budget.take());
+    CHECK_FALSE(budget.take());
+}
+
+TEST_CASE("a target whose runs fail sheds until few of them do")
+{
+    failure_shedder shedder;
+    std::uint64_t point = 1;
+    const auto next_point = [&]
+    {
+        point = point * 6364136223846793005ULL + 1442695040888963407ULL;
+        return static_cast<double>(point >> 11) / 9007199254740992.0;
+    };
+    CHECK_FALSE(shedder.sheds(0));
+    for (int i = 0; i < 100; ++i)
+        shedder.ran(true);
+    CHECK(shedder.share() == failure_shedder::most_shed);
+    int passed = 0;
+    for (int i = 0; i < 1000; ++i)
+        passed += shedder.sheds(next_point()) ? 0 : 1;
+    CHECK(passed > 100);
+    for (int i = 0; i < 1000; ++i)
+        shedder.ran(false);
+    CHECK_FALSE(shedder.sheds(0));
+}
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -209,3 +209,80 @@
     CHECK(places.arrive(now + milliseconds(150), now + seconds(9)) ==
           admission_verdict::run);
 }
+
+namespace
+{
+
+/** Fills the one slot and queues calls of given ranks and due times. */
+struct queue_under_test
+{
+    admission places{{1, 64, seconds(60), 0}};
+    std::list<admission_waiter> waiters;
+    time_point now = steady_clock::now();
+
+    queue_under_test() { places.arrive(now, now + seconds(9)); }
+
+    admission_waiter& add(std::uint32_t rank, milliseconds due)
+    {
+        auto& waiter = waiters.emplace_back();
+        waiter.rank = rank;
+        waiter.due = now + due;
+        waiter.deadline = now + seconds(9);
+        waiter.wake = [] {};
+        places.enqueue(waiter);
+        return waiter;
+    }
+
+    /** Ends the run that is on; @return whether @p waiter runs then. */
+    bool next_is(const admission_waiter& waiter)
+    {
+        places.leave(now, milliseconds(1));
+        return waiter.granted;
+    }
+};
+
+} // namespace
+
+TEST_CASE("the most urgent rank goes first, and in it what is due first")
+{
+    queue_under_test queue;
+    const auto& low = queue.add(2, milliseconds(1));
+    const auto& late = queue.add(1, milliseconds(500));
+    const auto& early = queue.add(1, milliseconds(100));
+    CHECK(queue.next_is(early));
+    CHECK(queue.next_is(late));
+    CHECK(queue.next_is(low));
+}
+
+TEST_CASE("a less urgent rank gets one place in five and does not starve")
+{
+    queue_under_test queue;
+    for (int i = 0; i < 100; ++i)
+        queue.add(0, milliseconds(100));
+    std::vector<const admission_waiter*> low;
+    for (int i = 0; i < 100; ++i)
+        low.push_back(&queue.add(1, milliseconds(100)));
+    for (int i = 0; i < 50; ++i)
+        queue.places.leave(queue.now, milliseconds(1));
+    const auto served = std::ranges::count_if(
+        low, [](const admission_waiter* each) { return each->granted; });
+    CHECK(served == 10);
+}
+
+TEST_CASE("a call that would wait too long is refused when it comes")
+{
+    queue_under_test queue;
+    for (int i = 0; i < 200; ++i)
+    {
+        queue.places.leave(queue.now, milliseconds(100)); // the mean run
+        queue.places.arrive(queue.now, queue.now + seconds(9));
+    }
+    CHECK(queue.places.arrive(queue.now, queue.now + seconds(9), 0,
+                              milliseconds(150)) == admission_verdict::wait);
+    queue.add(0, milliseconds(100));
+    CHECK(queue.places.arrive(queue.now, queue.now + seconds(9), 0,
+                              milliseconds(150)) ==
+          admission_verdict::queue_full);
+    // What is less urgent is not ahead of it.
+    queue.waiters.clear();
+}
--- a/tests/unit/membership.cpp
+++ b/tests/unit/membership.cpp
@@ -218,3 +218,48 @@
     }
     CHECK(readers == 6);
 }
+
+TEST_CASE("what a boot told of its targets outlives it with every member")
+{
+    member before;
+    before.rpc = {"127.0.0.1", 7};
+    before.incarnation = 5;
+    before.left_targets = {"t1", "t2"};
+    member after = before;
+    after.incarnation = 90;
+    after.left_targets = {"t3"};
+    member other;
+    other.rpc = {"127.0.0.1", 8};
+
+    member_list peer(other);
+    peer.merge(before);
+    peer.merge(after);
+    const std::vector<std::string> all{"t1", "t2", "t3"};
+    CHECK(peer.find(after.rpc)->left_targets == all);
+
+    // The new boot learns it from a record that is older than its own.
+    member_list own(after);
+    CHECK(own.merge(before) == merge_result::changed);
+    CHECK(own.self().left_targets == all);
+    CHECK(own.self().incarnation > after.incarnation);
+    CHECK(own.merge(before) == merge_result::unchanged);
+    CHECK(own.merge(*peer.find(after.rpc)) == merge_result::unchanged);
+}
+
+TEST_CASE("member records keep all their fields over the wire")
+{
+    member sent;
+    sent.rpc = sent.peer = sent.caller = sent.operators = {"127.0.0.1", 7};
+    sent.target = {"127.0.0.1", 9};
+    sent.target_id = "t9";
+    sent.left_targets = {"t1", "t2"};
+    const auto read = member_from_json(to_json(sent));
+    REQUIRE(read);
+    CHECK(*read == sent);
+    // A record of the format before has no such fields.
+    auto shorter = to_json(sent);
+    shorter.as_array().resize(11);
+    const auto old = member_from_json(shorter);
+    REQUIRE(old);
+    CHECK(old->target_id.empty());
+}
--- /dev/null
+++ b/tests/unit/owner_answer.cpp
@@ -0,0 +1,114 @@
+#include "tillerhall/proxy/owner_answer.hpp"
+#include "tillerhall/proxy/wire_names.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace tillerhall;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr const char* id_field = "X-Request-Id";
+
+owner_call sample_call(time_point now)
+{
+    owner_call call;
+    call.request_id = "id-1";
+    call.service = "s";
+    call.origin = "from";
+    call.kind = call_kind::large_once;
+    call.rank = 3;
+    call.deadline = now + milliseconds(700);
+    call.objective = milliseconds(120);
+    return call;
+}
+
+} // namespace
+
+TEST_CASE(
+    "an owner reads of a call what the entry wrote, and only that goes on")
+{
+    const auto now = steady_clock::now();
+    received_request request{{http::verb::post, "/x?q=1", 11}, now};
+    request.message.set(id_field, "id-1");
+    request.message.set("X-Own", "kept");
+    write_hop_fields(request.message, sample_call(now), now);
+    const auto read = take_hop_fields(request, id_field);
+    REQUIRE(read);
+    CHECK(read->request_id == "id-1");
+    CHECK(read->service == "s");
+    CHECK(read->origin == "from");
+    CHECK(read->kind == call_kind::large_once);
+    CHECK(read->rank == 3);
+    CHECK(read->objective == milliseconds(120));
+    CHECK(to_ms(read->deadline - now) == 700);
+    CHECK(request.message["X-Own"] == "kept");
+    CHECK(request.message.count(hop_field::service) == 0);
+    CHECK(request.message.count(hop_field::origin) == 0);
+}
+
+TEST_CASE("a call whose fields are missing or malformed is no owner's call")
+{
+    const auto now = steady_clock::now();
+    for (const auto* spoiled :
+         {id_field, hop_field::service, hop_field::kind, hop_field::rank,
+          hop_field::time_left_ms, hop_field::objective_ms})
+    {
+        received_request request{{http::verb::get, "/", 11}, now};
+        request.message.set(id_field, "id-1");
+        write_hop_fields(request.message, sample_call(now), now);
+        request.message.erase(spoiled);
+        INFO(spoiled);
+        CHECK_FALSE(take_hop_fields(request, id_field));
+    }
+    received_request request{{http::verb::get, "/", 11}, now};
+    request.message.set(id_field, "id-1");
+    write_hop_fields(request.message, sample_call(now), now);
+    request.message.set(hop_field::kind, "9");
+    CHECK_FALSE(take_hop_fields(request, id_field));
+}
+
+TEST_CASE("an entry reads of an answer what the owner wrote")
+{
+    const auto call = sample_call(steady_clock::now());
+    for (const auto end : {call_end::not_run, call_end::unknown,
+                           call_end::timed_out, call_end::cancelled})
+    {
+        owner_answer given;
+        given.end = end;
+        given.reason = "why";
+        given.reached = end != call_end::not_run;
+        given.retry_after = milliseconds(80);
+        given.told = {1.25, 42.5, 12};
+        const auto read =
+            from_hop_response(to_hop_response(given, call, id_field));
+        CHECK(read.end == end);
+        CHECK(read.reason == "why");
+        CHECK(read.reached == given.reached);
+        CHECK(read.retry_after == milliseconds(80));
+        CHECK(read.told.load == 1.25);
+        CHECK(read.told.run_ms == 42.5);
+        CHECK(read.told.slots == 12);
+        CHECK_FALSE(read.response);
+    }
+    owner_answer given;
+    given.end = call_end::answered;
+    given.reached = true;
+    given.response.emplace(http::status::not_found, 11);
+    given.response->body() = "body";
+    const auto read = from_hop_response(to_hop_response(given, call, id_field));
+    REQUIRE(read.response);
+    CHECK(read.response->result() == http::status::not_found);
+    CHECK(read.response->body() == "body");
+    CHECK(read.response->count(hop_field::end) == 0);
+    CHECK(read.response->count(hop_field::load) == 0);
+}
+
+TEST_CASE("what no owner said leaves open whether the call ran")
+{
+    const auto read = from_hop_response(
+        whole_response(http::status::service_unavailable, 11));
+    CHECK(read.end == call_end::unknown);
+    CHECK(read.reached);
+}
