Row read after a change, members' feed rests, first runs of a mean count alike

Cause: a feed brings every version of a storm, several of 72 KB in one answer, which set the peak of memory; the directory's feed was asked after each change though the nodes tell each other; a mean that grew from zero made a target that had just started look the quickest, so it was flooded while cold.

--- a/include/tillerhall/control/route_controller.hpp
+++ b/include/tillerhall/control/route_controller.hpp
@@ -43,8 +43,21 @@
 private:
     boost::json::object on_routes(const boost::json::object& params);
     void follow_loop();
-    bool read_row();
-    bool follow_once();
+    enum class step
+    {
+        read,
+        follow
+    };
+    enum class outcome
+    {
+        failed,
+        unchanged,
+        changed
+    };
+
+    outcome read_row();
+    outcome follow_once();
+    outcome take_last(const row_page& page);
     void take(const std::string& value, const char* from);
     void note_store(const error* failed);
 
@@ -54,6 +67,7 @@
     backoff m_waits;
     std::string m_value;          ///< of the version in force, for peers
     std::uint64_t m_revision = 0; ///< of the store, up to which it was read
+    std::uint64_t m_taken_revision = 0; ///< of the row that was taken last
     bool m_store_lost = false;
     bool m_pulling = false;
 };
--- a/include/tillerhall/routing/admission.hpp
+++ b/include/tillerhall/routing/admission.hpp
@@ -127,6 +127,7 @@
     std::int64_t m_waiting = 0;
     std::int64_t m_most_in_flight = 0;
     duration m_mean_run{};
+    int m_runs_counted = 0; ///< in the mean, up to its weight
 };
 
 } // namespace tillerhall
--- a/src/control/directory_controller.cpp
+++ b/src/control/directory_controller.cpp
@@ -16,8 +16,9 @@
 // Peers hear of changes by heartbeat, too, so a feed that went silent may be
 // found out late here.
 constexpr milliseconds feed_wait(8'000);
-// Changes come in bursts (a start of all, a release): one read for many.
-constexpr milliseconds rest_after_change(200);
+// Changes come in bursts (a start of all, a release): one read for many. The
+// nodes tell each other of a change at once; the rows are the net below that.
+constexpr milliseconds rest_after_change(2'000);
 
 } // namespace
 
--- a/src/control/route_controller.cpp
+++ b/src/control/route_controller.cpp
@@ -65,50 +65,66 @@
 
 void route_controller::follow_loop()
 {
-    bool following = false;
+    auto next = step::read;
     while (true)
     {
-        following = following ? follow_once() : read_row();
-        if (following)
-            m_waits.reset();
-        else
+        switch (next == step::read ? read_row() : follow_once())
+        {
+        case outcome::failed:
+            next = step::read;
             sleep_for(m_mesh.on.io(), m_waits.next(m_mesh.random));
+            break;
+        case outcome::changed:
+            // The row holds the newest version; a feed would bring each one
+            // of a storm, so after a rest the row is read instead.
+            next = step::read;
+            m_waits.reset();
+            sleep_for(m_mesh.on.io(), rest_after_change);
+            break;
+        case outcome::unchanged:
+            next = step::follow;
+            m_waits.reset();
+            break;
+        }
     }
 }
 
-bool route_controller::read_row()
+route_controller::outcome route_controller::read_row()
 {
     const auto page =
         m_store.read(m_source.row.table, m_source.row.part, m_source.row.key);
     note_store(page ? nullptr : &page.reason());
     if (!page)
-        return false;
+        return outcome::failed;
     m_revision = page->revision;
-    const auto found =
-        std::ranges::find(page->rows, m_source.row, &stored_row::name);
-    if (found != page->rows.end())
-        take(found->value, "store");
-    return true;
+    return take_last(*page);
 }
 
-bool route_controller::follow_once()
+route_controller::outcome route_controller::follow_once()
 {
-    const auto page = m_store.follow(m_source.row.table, m_revision, feed_wait);
+    const auto page =
+        m_store.follow(m_source.row.table, m_revision, feed_wait);
     if (!page && page.reason().code() == error_code::history_lost)
         return read_row();
     note_store(page ? nullptr : &page.reason());
     if (!page)
-        return false;
+        return outcome::failed;
     m_revision = std::max(m_revision, page->revision);
+    return take_last(*page);
+}
+
+route_controller::outcome route_controller::take_last(const row_page& page)
+{
     // A feed brings every change in its order; only the last one counts.
-    const auto changes = page->rows | std::views::reverse;
+    const auto changes = page.rows | std::views::reverse;
     const auto last =
         std::ranges::find(changes, m_source.row, &stored_row::name);
-    if (last == changes.end() || last->removed)
-        return true;
+    if (last == changes.end() || last->removed ||
+        last->revision == m_taken_revision)
+        return outcome::unchanged;
+    m_taken_revision = last->revision;
     take(last->value, "store");
-    sleep_for(m_mesh.on.io(), rest_after_change);
-    return true;
+    return outcome::changed;
 }
 
 void route_controller::take(const std::string& value, const char* from)
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -11,8 +11,9 @@
 constexpr std::array<std::string_view, 5> verdict_names{
     "run", "wait", "rate_exceeded", "queue_full", "deadline_too_near"};
 
-// Weight of the newest run in the mean.
-constexpr int mean_share = 16;
+// Weight of the newest run in the mean: runs differ by as much as their mean,
+// so over 32 of them the mean is known to some 12%.
+constexpr int mean_share = 32;
 constexpr double least_burst = 1;
 // One grant in so many goes to a less urgent rank that waits: it then gets a
 // fifth of the slots, a quarter of what the urgent one does.
@@ -102,7 +103,10 @@
 void admission::leave(time_point now, duration took)
 {
     --m_in_flight;
-    m_mean_run += (took - m_mean_run) / mean_share;
+    // The first runs count alike: a mean that grew from nothing would make a
+    // target that has just started look like the quickest one.
+    m_runs_counted = std::min(m_runs_counted + 1, mean_share);
+    m_mean_run += (took - m_mean_run) / m_runs_counted;
     grant_free_slots(now);
 }
 
