A call ended from outside says nothing of its target; hedging tried and reverted

Cause: a call that its client left counted as a refusal by its target, so targets that merely had impatient clients were passed over.

--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -21,7 +21,8 @@
 {
     good,
     refused, ///< not run; the target is full, not bad
-    failed
+    failed,
+    unknown ///< ended from outside; says nothing about the target
 };
 
 /** What the owner of a target told with an answer. */
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -78,7 +78,7 @@
         return answer.reached || answer.told.load ? call_verdict::refused
                                                   : call_verdict::failed;
     if (answer.end == call_end::cancelled)
-        return call_verdict::refused; // says nothing about the target
+        return call_verdict::unknown;
     const bool good = answer.end == call_end::answered && !is_failure(answer);
     return good ? call_verdict::good : call_verdict::failed;
 }
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -232,6 +232,8 @@
     auto& of = record_of(owner, now);
     if (of.in_flight > 0)
         --of.in_flight;
+    if (verdict == call_verdict::unknown)
+        return;
     const double failed = verdict == call_verdict::failed ? 1 : 0;
     of.failures += (failed - of.failures) * newest_share;
     const double refused = verdict == call_verdict::refused ? 1 : 0;
