Calls wait for a place at most a quarter of their objective; shedding holds across owners

Change: a call is refused on arrival if it would wait longer than the objective less one and a half mean runs, at most a quarter of the objective (200 ms for short objectives, which go first). A refusal that others would repeat ends the search after two owners.

--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -60,7 +60,8 @@
         const call_route* route = nullptr;
         std::vector<address> tried;
         unsigned targets_reached = 0;
-        bool may_have_run = false; ///< in a try whose answer is not known
+        unsigned refused_alike = 0; ///< by owners that expect others to, too
+        bool may_have_run = false;  ///< in a try whose answer is not known
     };
 
     owner_answer
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -42,8 +42,9 @@
     call_end end = call_end::unknown;
     std::optional<whole_response> response; ///< the target's, if answered
     std::string reason;                     ///< why, unless answered
-    bool reached = false;   ///< the target has, or may have, seen the call
-    duration retry_after{}; ///< of a refusal
+    bool reached = false; ///< the target has, or may have, seen the call
+    bool elsewhere_alike = false; ///< other targets would refuse it as well
+    duration retry_after{};       ///< of a refusal
     owner_word told;
 };
 
--- a/src/control/route_controller.cpp
+++ b/src/control/route_controller.cpp
@@ -102,8 +102,7 @@
 
 route_controller::outcome route_controller::follow_once()
 {
-    const auto page =
-        m_store.follow(m_source.row.table, m_revision, feed_wait);
+    const auto page = m_store.follow(m_source.row.table, m_revision, feed_wait);
     if (!page && page.reason().code() == error_code::history_lost)
         return read_row();
     note_store(page ? nullptr : &page.reason());
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 #include <cstdio>
+#include <utility>
 
 namespace tillerhall
 {
@@ -28,6 +29,9 @@
 constexpr milliseconds least_time_left(5);
 // Owners asked that refuse before their target saw the call.
 constexpr std::size_t most_owners = 4;
+// One owner may be wrong about the others; asked on and on, shedding owners
+// would let most calls through in the end.
+constexpr unsigned most_alike = 2;
 constexpr std::int64_t longest_time_left_ms = 3'600'000;
 constexpr milliseconds retry_elsewhere(200);
 constexpr milliseconds retry_without_target(100);
@@ -204,7 +208,7 @@
         if (!may_try_again(state, last, scope))
             return failure && !answered ? std::move(*failure) : last;
         if (answered)
-            failure = std::move(last);
+            failure = std::exchange(last, {});
         state.tried.push_back(owner->rpc);
     }
 }
@@ -234,7 +238,7 @@
                                  const owner_answer& last)
 {
     if (last.end == call_end::not_run)
-        return true;
+        return state.refused_alike < most_alike;
     if (state.call.kind != call_kind::repeatable)
         return false;
     if (last.end == call_end::unknown)
@@ -259,6 +263,8 @@
                     now);
     if (answer.reached)
         ++state.targets_reached;
+    if (answer.elsewhere_alike)
+        ++state.refused_alike;
     if (answer.end == call_end::answered)
     {
         auto& failing = m_services[state.call.service].failing;
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -17,10 +17,14 @@
 constexpr std::array call_fields{
     hop_field::service, hop_field::kind,         hop_field::rank,
     hop_field::origin,  hop_field::time_left_ms, hop_field::objective_ms};
-constexpr std::array answer_fields{hop_field::end,           hop_field::reached,
-                                   hop_field::load,          hop_field::run_ms,
-                                   hop_field::slots,         hop_field::reason,
-                                   hop_field::retry_after_ms};
+constexpr std::array answer_fields{hop_field::end,
+                                   hop_field::reached,
+                                   hop_field::load,
+                                   hop_field::run_ms,
+                                   hop_field::slots,
+                                   hop_field::reason,
+                                   hop_field::retry_after_ms,
+                                   hop_field::alike};
 constexpr unsigned refusal_status = 503;
 
 template <class Number>
@@ -114,6 +118,8 @@
         response.set(hop_field::load, percent(*answer.told.load));
     response.set(hop_field::run_ms, tenths(answer.told.run_ms));
     response.set(hop_field::slots, tenths(answer.told.slots));
+    if (answer.elsewhere_alike)
+        response.set(hop_field::alike, "1");
     if (!answer.reason.empty())
         response.set(hop_field::reason, answer.reason);
     if (answer.retry_after > duration::zero())
@@ -135,6 +141,7 @@
         return answer;
     }
     answer.end = static_cast<call_end>(found - end_names.begin());
+    answer.elsewhere_alike = response.count(hop_field::alike) != 0;
     answer.reason = std::string(response[hop_field::reason]);
     answer.retry_after = milliseconds(
         number_in<std::int64_t>(response[hop_field::retry_after_ms])
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -24,12 +24,14 @@
 constexpr std::chrono::seconds longest_wait(60);
 constexpr unsigned misdirected = 421;
 constexpr unsigned run_failed = 500;
-// A place is waited for at most this part of the objective, as a target that
-// is late by more than the rest answers late anyway.
-constexpr int wait_part = 2;
-// Calls with a short objective go first in the queue, so that what is ahead
-// of them is less than the whole; refused alike, no kind bears it alone.
-constexpr milliseconds least_most_wait(200);
+// A call waits for a place only while most runs would still end within its
+// objective: runs are spread, four in five take less than 1.5 times the mean.
+constexpr int usual_run_halves = 3;
+constexpr int most_wait_part = 4;  ///< of the objective
+constexpr int least_wait_part = 8; ///< of the objective; a burst of a moment
+// Calls with a short objective go first in the queue, so what is ahead of
+// them is less than the whole; refused alike, no kind bears it alone.
+constexpr milliseconds short_objective(200);
 // Statuses by which a client is promised that its call did not run.
 constexpr std::array promising_statuses{408U, 421U, 429U, 503U};
 
@@ -42,6 +44,16 @@
     return limits;
 }
 
+/** @return how long a call may be expected to wait before it is refused. */
+duration most_wait(duration objective, duration mean_run)
+{
+    if (objective <= short_objective)
+        return short_objective;
+    return std::clamp<duration>(objective - mean_run * usual_run_halves / 2,
+                                objective / least_wait_part,
+                                objective / most_wait_part);
+}
+
 bool is_success(const whole_response& response)
 {
     return http::to_status_class(response.result()) ==
@@ -107,14 +119,18 @@
     if (m_board.phase == node_phase::ending)
         return refuse("node_ending");
     if (m_shedder.sheds(m_random.unit()))
-        return refuse("runs_fail_further_down");
+    {
+        auto shed = refuse("runs_fail_further_down");
+        shed.elsewhere_alike = true;
+        return shed;
+    }
     const auto verdict = m_places.acquire(
-        m_worker.io(), {.deadline = call.deadline,
-                        .rank = call.rank,
-                        .due = steady_clock::now() + call.objective,
-                        .most_wait = std::max<duration>(
-                            least_most_wait, call.objective / wait_part),
-                        .scope = &scope});
+        m_worker.io(),
+        {.deadline = call.deadline,
+         .rank = call.rank,
+         .due = steady_clock::now() + call.objective,
+         .most_wait = most_wait(call.objective, m_places.mean_run()),
+         .scope = &scope});
     if (scope.is_cancelled())
     {
         if (verdict == admission_verdict::run)
--- a/tests/unit/owner_answer.cpp
+++ b/tests/unit/owner_answer.cpp
@@ -80,6 +80,7 @@
         given.reason = "why";
         given.reached = end != call_end::not_run;
         given.retry_after = milliseconds(80);
+        given.elsewhere_alike = end == call_end::not_run;
         given.told = {1.25, 42.5, 12};
         const auto read =
             from_hop_response(to_hop_response(given, call, id_field));
@@ -87,6 +88,7 @@
         CHECK(read.reason == "why");
         CHECK(read.reached == given.reached);
         CHECK(read.retry_after == milliseconds(80));
+        CHECK(read.elsewhere_alike == given.elsewhere_alike);
         CHECK(read.told.load == 1.25);
         CHECK(read.told.run_ms == 42.5);
         CHECK(read.told.slots == 12);
