--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -28,9 +28,10 @@
 // a quarter, an eighth and a sixteenth of the objective the last served most in
 // time.
 constexpr int wait_part = 16;
-// Calls with a short objective go first in the queue, so what is ahead of
-// them is less than the whole; refused alike, no kind bears it alone.
-constexpr milliseconds short_objective(200);
+// Calls with a short objective, as targets make them, go first in the queue.
+// With about the limit of the others they are refused about as often, and no
+// kind of call bears an overload alone.
+constexpr milliseconds least_wait(30);
 // Statuses by which a client is promised that its call did not run.
 constexpr std::array promising_statuses{408U, 421U, 429U, 503U};
 
@@ -46,8 +47,7 @@
 /** @return how long a call may be expected to wait before it is refused. */
 duration most_wait(duration objective)
 {
-    return objective <= short_objective ? duration(short_objective)
-                                        : objective / wait_part;
+    return std::max<duration>(objective / wait_part, least_wait);
 }
 
 bool is_success(const whole_response& response)
