A stop asked for while a node resumes stays in force; HEAD keeps its length

Cause (found by reading): a node that resumes after a pause put back the phase from before it, also when SIGTERM had come in between, and then told readiness 200 again until its end. An answer to HEAD had its length replaced by 0.

Change: the phase is put back only if it is still that of resuming; answers are framed by their length only where they have a body or tell none. The second has a unit test that failed first; the first is a race of two fibers within one resume and has none.

--- a/include/tillerhall/http/whole_message.hpp
+++ b/include/tillerhall/http/whole_message.hpp
@@ -15,6 +15,14 @@
 using whole_response =
     boost::beast::http::response<boost::beast::http::string_body>;
 
+/** Frames @p response by its length. The answer to a HEAD request keeps the
+ * length that it tells, though its body is empty. */
+inline void frame_by_length(whole_response& response)
+{
+    if (!response.body().empty() || !response.has_content_length())
+        response.prepare_payload();
+}
+
 /** A request as it came in. */
 struct received_request
 {
--- a/src/node/membership_controller.cpp
+++ b/src/node/membership_controller.cpp
@@ -93,7 +93,9 @@
         sleep_for(m_mesh.on.io(), milliseconds(m_mesh.config.heartbeat_ms));
         bury_overdue();
     }
-    board.phase = before;
+    // A stop that was asked for meanwhile stays in force.
+    auto resuming = node_phase::resuming;
+    board.phase.compare_exchange_strong(resuming, before);
 }
 
 std::vector<address> membership_controller::some_peers(std::size_t count)
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -370,7 +370,7 @@
     {
         auto response = std::move(*answer.response);
         remove_hop_fields(response);
-        response.prepare_payload();
+        frame_by_length(response);
         response.keep_alive(!is_server_error(response.result_int()));
         return response;
     }
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -125,7 +125,7 @@
     if (answer.retry_after > duration::zero())
         response.set(hop_field::retry_after_ms,
                      std::to_string(to_ms(answer.retry_after)));
-    response.prepare_payload();
+    frame_by_length(response);
     return response;
 }
 
--- a/tests/unit/owner_answer.cpp
+++ b/tests/unit/owner_answer.cpp
@@ -107,6 +107,18 @@
     CHECK(read.response->count(hop_field::load) == 0);
 }
 
+TEST_CASE("the answer to HEAD keeps the length that its target told")
+{
+    owner_answer given;
+    given.end = call_end::answered;
+    given.response.emplace(http::status::ok, 11);
+    given.response->content_length(1234);
+    const auto read = from_hop_response(
+        to_hop_response(given, sample_call(steady_clock::now()), id_field));
+    REQUIRE(read.response);
+    CHECK((*read.response)[http::field::content_length] == "1234");
+}
+
 TEST_CASE("what no owner said leaves open whether the call ran")
 {
     const auto read = from_hop_response(
