Shedding follows the runs of the last two seconds

A target whose runs failed shed up to 85% and came back by 0.002 a good run. Ruled out: the ledger's room (it ran at 45 of 100 while previews were refused) and the budget of second sends.

The share that is shed follows the failures of the last one to two seconds, beyond 15% (chance and grey targets), up to a half.

--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -117,7 +117,7 @@
         return refuse("target_down");
     if (m_board.phase == node_phase::ending)
         return refuse("node_ending");
-    if (m_shedder.sheds(m_random.unit()))
+    if (m_shedder.sheds(m_random.unit(), steady_clock::now()))
     {
         auto shed = refuse("runs_fail_further_down");
         shed.elsewhere_alike = true;
@@ -153,7 +153,8 @@
                           : m_places.mean_run();
     m_places.release(took);
     if (answer.end == call_end::answered)
-        m_shedder.ran(answer.response->result_int() == run_failed);
+        m_shedder.ran(answer.response->result_int() == run_failed,
+                      steady_clock::now());
     answer.told = word();
     return answer;
 }
