Owners are asked before they are sent a large body

On the grown deployments most links carry 10 Mbit/s, and a body of 60 KB is 48 ms of one. An entry chose by load, speed and domain, and bytes between domains weigh 600 ms for such a body, so uploads stayed in their domain whatever its links had to carry: two owners of polder-b took the uploads of 45% of the clients. Ruled out: places at those targets (load 0.4 in the median) and processor time of the nodes (0.034 of 0.1 cores at the most).

Before a body of 16 KB or more an entry asks three owners, one of them of another domain, how much is on its way to them, and weighs the time on the link.

What is left: a question took 150 ms when one of the three did not answer.

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -1,6 +1,7 @@
 /** @file Serves the calls of one connection: read ahead, answered in order. */
 #pragma once
 
+#include "tillerhall/http/byte_backlog.hpp"
 #include "tillerhall/http/cancel_scope.hpp"
 #include "tillerhall/http/stream.hpp"
 #include "tillerhall/http/whole_message.hpp"
@@ -37,6 +38,8 @@
     std::function<client_limits()> limits;
     /** @return whether connections should be ended at the next answer. */
     std::function<bool()> ending;
+    /** Counts bodies while they are read; may be null. */
+    byte_backlog* incoming = nullptr;
 };
 
 /**
--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tillerhall/node/blackboard.hpp"
+#include "tillerhall/proxy/owner_choice.hpp"
 #include "tillerhall/proxy/target_owner.hpp"
 #include "tillerhall/routing/fleet_budget.hpp"
 #include "tillerhall/routing/share_sequence.hpp"
@@ -37,6 +38,7 @@
                target_board& targets,
                target_owner& local,
                worker& on,
+               owner_choice::asker ask,
                unreachable report);
 
     /** Answers one call of a client. */
@@ -96,6 +98,7 @@
     blackboard& m_board;
     target_board& m_targets;
     target_owner& m_local;
+    owner_choice m_choice;
     unreachable m_report;
     stream_pool m_pool;
     share_sequence m_shares;
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -5,6 +5,7 @@
 #include "tillerhall/routing/call_route.hpp"
 #include "tillerhall/routing/target_board.hpp"
 
+#include <boost/json/object.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -48,6 +49,11 @@
     owner_word told;
 };
 
+boost::json::object to_json(const owner_word& sent);
+
+/** Throws std::exception on a bad message. */
+owner_word owner_word_from_json(const boost::json::object& members);
+
 /** Writes @p call into @p request, which goes to another node. */
 void write_hop_fields(whole_request& request,
                       const owner_call& call,
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tillerhall/core/worker.hpp"
+#include "tillerhall/http/byte_backlog.hpp"
 #include "tillerhall/http/exchange.hpp"
 #include "tillerhall/http/stream_pool.hpp"
 #include "tillerhall/node/blackboard.hpp"
@@ -50,6 +51,12 @@
 
     const call_admission& places() const noexcept { return m_places; }
 
+    /** @return what entries choose by: load, speed, what is on its way. */
+    owner_word word() const;
+
+    /** Bodies that other nodes are sending to this one. */
+    byte_backlog& incoming() noexcept { return m_incoming; }
+
 private:
     owner_answer refuse(std::string reason) const;
     owner_answer send(const whole_request& request,
@@ -57,7 +64,6 @@
                       const target_report& target,
                       cancel_scope& scope);
     owner_answer judge(const owner_call& call, exchange_result result) const;
-    owner_word word() const;
     whole_request onward(const whole_request& request,
                          const owner_call& call,
                          const target_report& target) const;
@@ -70,6 +76,7 @@
     call_admission m_places;
     stream_pool m_pool;
     target_lost m_lost;
+    byte_backlog m_incoming;
     bool m_up = true;
     failure_shedder m_shedder;
     random_source m_random{entropy_seed()};
--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -31,12 +31,15 @@
     std::optional<double> load; ///< calls running and waiting, of its slots
     double run_ms = 0;          ///< mean run at the target; 0 unknown
     double slots = 0;           ///< of the target; 0 unknown
+    /** Of bodies on their way to the owner; told only when it is asked. */
+    std::uint64_t incoming_bytes = 0;
 };
 
 /** Where a call comes from and what it carries, for its way to a target. */
 struct call_origin
 {
     const member_place* place = nullptr; ///< null: all ways are alike
+    const address* node = nullptr;       ///< the entry; no way to itself
     std::size_t bytes = 0;               ///< of the call's body
 };
 
@@ -74,14 +77,13 @@
 
     /**
      * Chooses among @p candidates, which all serve one service.
-     * @param from where the call comes from; other domains are further away
-     * @param call_bytes of the call's body; bytes between domains cost
+     * @param from other domains are further away, bytes to them cost, and
+     * full links take long
      * @return one that is not in @p avoid, or null.
      */
     member_ptr choose_among(const std::vector<member_ptr>& candidates,
                             const std::vector<address>& avoid,
-                            const member_place& from,
-                            std::size_t call_bytes,
+                            const call_origin& from,
                             time_point now);
 
     /**
@@ -104,6 +106,9 @@
                const owner_word& told,
                time_point now);
 
+    /** Takes the word of an owner that was asked. */
+    void told(const address& owner, const owner_word& word, time_point now);
+
     /** Counts a call of @p service towards its retry budget. */
     void count_call(const std::string& service, std::int64_t percent);
 
@@ -120,6 +125,8 @@
         double failures = 0; ///< decaying share of recent calls
         double refusals = 0; ///< decaying share of recent calls
         double latency_ms = 0;
+        double incoming_bytes = 0; ///< at `asked`
+        time_point asked{};
         time_point first_seen{};
         time_point last_end{};
     };
@@ -134,6 +141,7 @@
     double effective_weight(const place_route& place,
                             const std::vector<address>& avoid,
                             time_point now);
+    void take_word(record& of, const owner_word& word);
     record& record_of(const address& owner, time_point now);
     target_standing standing(const record& of, time_point now) const;
 
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -145,6 +145,8 @@
     // With an answer due before this one the line would be taken for it.
     if (waits && m_pending.empty() && !send_continue())
         return false;
+    const byte_backlog::body on_its_way(m_host.incoming,
+                                        parser.content_length().value_or(0));
     m_stream.expires_after(body_timeout);
     boost::system::error_code failed;
     http::async_read(m_stream, m_buffer, parser, await{failed});
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -104,12 +104,14 @@
                        target_board& targets,
                        target_owner& local,
                        worker& on,
+                       owner_choice::asker ask,
                        unreachable report)
     : m_config(config)
     , m_names(names)
     , m_board(board)
     , m_targets(targets)
     , m_local(local)
+    , m_choice(config, targets, local, std::move(ask))
     , m_report(std::move(report))
     , m_pool(on.io(), most_idle_per_peer, config.own.ip, peer_user_timeout)
     , m_shares(share_start(config.own))
@@ -208,9 +210,8 @@
     while (true)
     {
         const auto view = m_board.targets.get();
-        const auto owner = m_targets.choose_among(
-            view->of(service), state.tried, m_config.place,
-            request.message.body().size(), steady_clock::now());
+        const auto owner = m_choice.choose(view->of(service), state.tried,
+                                           request.message.body().size());
         if (!owner)
             return failure ? std::move(*failure) : last;
         last = try_one(request, state, *owner, scope);
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/json.hpp>
 #include <charconv>
 
 namespace tillerhall
@@ -63,6 +64,25 @@
     return end_names[static_cast<std::size_t>(end)];
 }
 
+boost::json::object to_json(const owner_word& sent)
+{
+    return {{"l", sent.load.value_or(0)},
+            {"r", sent.run_ms},
+            {"s", sent.slots},
+            {"i", sent.incoming_bytes}};
+}
+
+owner_word owner_word_from_json(const boost::json::object& members)
+{
+    owner_word read;
+    read.load = boost::json::value_to<double>(members.at("l"));
+    read.run_ms = boost::json::value_to<double>(members.at("r"));
+    read.slots = boost::json::value_to<double>(members.at("s"));
+    read.incoming_bytes =
+        boost::json::value_to<std::uint64_t>(members.at("i"));
+    return read;
+}
+
 void write_hop_fields(whole_request& request,
                       const owner_call& call,
                       time_point now)
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -90,7 +90,8 @@
     const std::chrono::duration<double> run = m_places.mean_run();
     const auto* target = m_targets.in_use();
     return {m_places.load(), run.count() * ms_per_s,
-            target == nullptr ? 0 : static_cast<double>(target->slots)};
+            target == nullptr ? 0 : static_cast<double>(target->slots),
+            m_incoming.bytes()};
 }
 
 owner_answer target_owner::refuse(std::string reason) const
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -34,17 +34,35 @@
 // Heads both ways and a typical answer.
 constexpr double fixed_kb = 2;
 
+// What an owner told of its link holds for about the time of one body.
+constexpr milliseconds word_of_link_holds(100);
+// While a body fills a link, all other calls to that host wait behind it: at
+// the users some 30 a second and host, many of them short ones whose failure
+// fails a run elsewhere. So the time on the link counts for more than itself.
+constexpr double link_weight = 5;
+
+constexpr double kb = 1024;
+
 double distance_ms(const call_origin& from, const member_place& to)
 {
     if (from.place == nullptr || from.place->domain == to.domain)
         return 0;
-    constexpr double kb = 1024;
     const double bytes_ms =
         ms_per_kb * (fixed_kb + static_cast<double>(from.bytes) / kb);
     return bytes_ms + (from.place->region == to.region ? domain_distance_ms
                                                        : region_distance_ms);
 }
 
+/** @return the cost of @p bytes on a link, 0 if its speed is not told. */
+double link_ms(double bytes, std::uint32_t link_mbps)
+{
+    constexpr double bits = 8;
+    constexpr double bits_per_ms_and_mbps = 1000;
+    if (link_mbps == 0)
+        return 0;
+    return link_weight * bytes * bits / (bits_per_ms_and_mbps * link_mbps);
+}
+
 double seconds(duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -153,8 +171,7 @@
 
 member_ptr target_board::choose_among(const std::vector<member_ptr>& candidates,
                                       const std::vector<address>& avoid,
-                                      const member_place& from,
-                                      std::size_t call_bytes,
+                                      const call_origin& from,
                                       time_point now)
 {
     std::vector<member_ptr> left;
@@ -164,7 +181,7 @@
     if (left.empty())
         return nullptr;
     const std::lock_guard lock(m_mutex);
-    return pick(left, {&from, call_bytes}, now);
+    return pick(left, from, now);
 }
 
 member_ptr target_board::pick(const std::vector<member_ptr>& left,
@@ -174,8 +191,16 @@
     std::vector<target_standing> standings;
     for (const auto& each : left)
     {
-        standings.push_back(standing(record_of(each->rpc, now), now));
-        standings.back().distance_ms = distance_ms(from, each->place);
+        const auto& known = record_of(each->rpc, now);
+        standings.push_back(standing(known, now));
+        const bool is_here = from.node != nullptr && *from.node == each->rpc;
+        const double ahead =
+            now < known.asked + word_of_link_holds ? known.incoming_bytes : 0;
+        const double way =
+            is_here ? 0
+                    : link_ms(ahead + static_cast<double>(from.bytes),
+                              each->link_mbps);
+        standings.back().distance_ms = distance_ms(from, each->place) + way;
     }
     std::vector<std::size_t> usable;
     for (std::size_t i = 0; i < left.size(); ++i)
@@ -242,17 +267,33 @@
         of.failures = std::max(of.failures, aside_share);
     if (verdict == call_verdict::good)
         of.latency_ms += (seconds(took) * 1000 - of.latency_ms) * newest_share;
-    if (told.run_ms > 0)
-        of.run_ms = told.run_ms;
-    if (told.slots > 0)
-        of.slots = told.slots;
-    if (told.load)
-        of.load = *told.load;
-    else if (verdict == call_verdict::refused)
+    take_word(of, told);
+    if (!told.load && verdict == call_verdict::refused)
         of.load = std::max(of.load, 1.0);
     of.last_end = now;
 }
 
+void target_board::take_word(record& of, const owner_word& word)
+{
+    if (word.run_ms > 0)
+        of.run_ms = word.run_ms;
+    if (word.slots > 0)
+        of.slots = word.slots;
+    if (word.load)
+        of.load = *word.load;
+}
+
+void target_board::told(const address& owner,
+                        const owner_word& word,
+                        time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    auto& of = record_of(owner, now);
+    take_word(of, word);
+    of.incoming_bytes = static_cast<double>(word.incoming_bytes);
+    of.asked = now;
+}
+
 void target_board::count_call(const std::string& service, std::int64_t percent)
 {
     const std::lock_guard lock(m_mutex);
