The first owners to answer get large bodies

Traced with lines of each step of an upload: 153 ms in the median went to questions whose answer never came in time, and 800 of the 910 ms on the way went before the head arrived, waiting on the receiver's link, which an owner that counts bodies under way does not see.

Behind the first answer the others have 50 ms; how long an answer took counts as time on that owner's link. The owner of another domain is drawn at random, as by the policy all nodes asked the same one (266 uploads against 44).

--- a/include/tillerhall/proxy/owner_choice.hpp
+++ b/include/tillerhall/proxy/owner_choice.hpp
@@ -9,12 +9,14 @@
 {
 
 class target_owner;
+class worker;
 struct entry_settings;
 
 /**
- * Chooses by what is known of the owners; for a large body it asks a few of
- * them first how much is on its way to them, since a body that is sent to a
- * full link delays all calls there. For fibers of one worker.
+ * Chooses by what is known of the owners. For a large body it asks a few of
+ * them first: what they tell is fresh, and how long the answer takes tells
+ * how much waits on the link to them. A body that is sent to a full link
+ * delays all calls there. For fibers of one worker.
  */
 class owner_choice
 {
@@ -25,6 +27,7 @@
     owner_choice(const entry_settings& config,
                  target_board& targets,
                  const target_owner& local,
+                 worker& on,
                  asker ask);
 
     /**
@@ -38,15 +41,21 @@
                       std::size_t bytes);
 
 private:
-    std::vector<member_ptr> ask_some(const std::vector<member_ptr>& candidates,
-                                     std::vector<address> avoid,
-                                     const call_origin& from);
-    void ask_one(const address& owner);
+    struct inquiry;
+
+    std::vector<member_ptr>
+    whom_to_ask(const std::vector<member_ptr>& candidates,
+                std::vector<address> avoid,
+                const call_origin& from);
+    std::vector<member_ptr> ask(const std::vector<member_ptr>& owners);
+    void ask_one(const member_ptr& owner, inquiry& all);
 
     const entry_settings& m_config;
     target_board& m_targets;
     const target_owner& m_local;
+    worker& m_worker;
     asker m_ask;
+    random_source m_random;
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -106,8 +106,11 @@
                const owner_word& told,
                time_point now);
 
-    /** Takes the word of an owner that was asked. */
-    void told(const address& owner, const owner_word& word, time_point now);
+    /** Takes the word of an owner that was asked; it took @p round_trip. */
+    void told(const address& owner,
+              const owner_word& word,
+              duration round_trip,
+              time_point now);
 
     /** Counts a call of @p service towards its retry budget. */
     void count_call(const std::string& service, std::int64_t percent);
@@ -126,6 +129,7 @@
         double refusals = 0; ///< decaying share of recent calls
         double latency_ms = 0;
         double incoming_bytes = 0; ///< at `asked`
+        double round_trip_ms = 0;  ///< at `asked`
         time_point asked{};
         time_point first_seen{};
         time_point last_end{};
@@ -144,6 +148,11 @@
     void take_word(record& of, const owner_word& word);
     record& record_of(const address& owner, time_point now);
     target_standing standing(const record& of, time_point now) const;
+    /** @return the cost of the way over the link of @p to. */
+    static double link_ms(const call_origin& from,
+                          const member& to,
+                          const record& known,
+                          time_point now);
 
     const choice_policy& m_policy;
     std::mutex m_mutex;
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -111,7 +111,7 @@
     , m_board(board)
     , m_targets(targets)
     , m_local(local)
-    , m_choice(config, targets, local, std::move(ask))
+    , m_choice(config, targets, local, on, std::move(ask))
     , m_report(std::move(report))
     , m_pool(on.io(), most_idle_per_peer, config.own.ip, peer_user_timeout)
     , m_shares(share_start(config.own))
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -78,8 +78,7 @@
     read.load = boost::json::value_to<double>(members.at("l"));
     read.run_ms = boost::json::value_to<double>(members.at("r"));
     read.slots = boost::json::value_to<double>(members.at("s"));
-    read.incoming_bytes =
-        boost::json::value_to<std::uint64_t>(members.at("i"));
+    read.incoming_bytes = boost::json::value_to<std::uint64_t>(members.at("i"));
     return read;
 }
 
--- a/src/proxy/owner_choice.cpp
+++ b/src/proxy/owner_choice.cpp
@@ -1,8 +1,10 @@
 #include "tillerhall/proxy/owner_choice.hpp"
+#include "tillerhall/core/await.hpp"
 #include "tillerhall/core/worker.hpp"
 #include "tillerhall/proxy/call_entry.hpp"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 
 namespace tillerhall
 {
@@ -12,22 +14,50 @@
 // On a link of 10 Mbit/s, the slowest at the users, this takes 13 ms: more
 // than to ask costs (a round trip between domains, 3 ms, and the work).
 constexpr std::size_t large_body = 16 * 1024;
-// Of two the better one is rarely bad (Mitzenmacher, 2001); with a third one
-// another domain is among them.
+// Of two the better one is rarely bad (Mitzenmacher, 2001). A third one is
+// from another domain, for when the links of this one are full.
 constexpr std::size_t most_asked = 3;
-// An owner that does not answer in its time has at least this on its link.
-constexpr std::uint64_t unanswered_bytes = 1024 * 1024;
+// Behind the first answer the others have this long. Who takes longer has
+// about a body (60 KB at 10 Mbit/s) more before it on its link.
+constexpr milliseconds later_answers(50);
+// If nobody answers by then, all links are full and the best known is taken.
+constexpr milliseconds first_answer(200);
 
 } // namespace
 
+/** One question to several owners; outlives the asking. */
+struct owner_choice::inquiry
+{
+    explicit inquiry(boost::asio::io_context& io)
+        : timer(io)
+        , until(steady_clock::now() + first_answer)
+    {
+    }
+
+    void answered_by(const member_ptr& owner)
+    {
+        answered.push_back(owner);
+        until =
+            std::min<time_point>(until, steady_clock::now() + later_answers);
+    }
+
+    boost::asio::steady_timer timer;
+    time_point until;
+    std::size_t open = 0;
+    std::vector<member_ptr> answered;
+};
+
 owner_choice::owner_choice(const entry_settings& config,
                            target_board& targets,
                            const target_owner& local,
+                           worker& on,
                            asker ask)
     : m_config(config)
     , m_targets(targets)
     , m_local(local)
+    , m_worker(on)
     , m_ask(std::move(ask))
+    , m_random(entropy_seed())
 {
 }
 
@@ -36,57 +66,78 @@
                                 std::size_t bytes)
 {
     const call_origin from{&m_config.place, &m_config.own, bytes};
+    const auto best = [&](const std::vector<member_ptr>& among)
+    { return m_targets.choose_among(among, avoid, from, steady_clock::now()); };
     if (bytes < large_body)
-        return m_targets.choose_among(candidates, avoid, from,
-                                      steady_clock::now());
-    const auto asked = ask_some(candidates, avoid, from);
-    return m_targets.choose_among(asked, avoid, from, steady_clock::now());
+        return best(candidates);
+    const auto asked = whom_to_ask(candidates, avoid, from);
+    if (asked.size() < 2)
+        return best(asked);
+    const auto answered = ask(asked);
+    return best(answered.empty() ? asked : answered);
 }
 
 std::vector<member_ptr>
-owner_choice::ask_some(const std::vector<member_ptr>& candidates,
-                       std::vector<address> avoid,
-                       const call_origin& from)
+owner_choice::whom_to_ask(const std::vector<member_ptr>& candidates,
+                          std::vector<address> avoid,
+                          const call_origin& from)
 {
-    const auto is_near = [&](const member_ptr& each)
-    { return each->place == m_config.place; };
-    std::vector<member_ptr> far;
-    std::ranges::remove_copy_if(candidates, std::back_inserter(far), is_near);
     std::vector<member_ptr> asked;
-    const auto add_from = [&](const std::vector<member_ptr>& group)
+    const auto add = [&](const member_ptr& owner)
     {
-        auto next =
-            m_targets.choose_among(group, avoid, from, steady_clock::now());
-        if (next == nullptr)
-            return;
-        avoid.push_back(next->rpc);
-        asked.push_back(std::move(next));
+        avoid.push_back(owner->rpc);
+        asked.push_back(owner);
     };
-    add_from(far);
+    std::vector<member_ptr> far;
+    std::ranges::copy_if(candidates, std::back_inserter(far),
+                         [&](const member_ptr& each)
+                         {
+                             return each->place != m_config.place &&
+                                    std::ranges::find(avoid, each->rpc) ==
+                                        avoid.end();
+                         });
+    // Any of them: by the policy all nodes would ask the same one.
+    if (!far.empty())
+        add(far[m_random.below(far.size())]);
     while (asked.size() < most_asked)
     {
-        const auto before = asked.size();
-        add_from(candidates);
-        if (asked.size() == before)
+        const auto next = m_targets.choose_among(candidates, avoid, from,
+                                                 steady_clock::now());
+        if (next == nullptr)
             break;
+        add(next);
     }
-    if (asked.size() < 2)
-        return asked;
-    std::vector<worker::task> questions;
-    for (const auto& each : asked)
-        questions.emplace_back([this, each] { ask_one(each->rpc); });
-    run_parallel(std::move(questions));
     return asked;
 }
 
-void owner_choice::ask_one(const address& owner)
+std::vector<member_ptr> owner_choice::ask(const std::vector<member_ptr>& owners)
+{
+    const auto all = std::make_shared<inquiry>(m_worker.io());
+    all->open = owners.size();
+    for (const auto& each : owners)
+        m_worker.spawn([this, all, each] { ask_one(each, *all); });
+    while (all->open > 0 && steady_clock::now() < all->until)
+    {
+        all->timer.expires_at(all->until);
+        boost::system::error_code ignored;
+        all->timer.async_wait(await{ignored});
+    }
+    return all->answered;
+}
+
+void owner_choice::ask_one(const member_ptr& owner, inquiry& all)
 {
-    if (owner == m_config.own)
-        return m_targets.told(owner, m_local.word(), steady_clock::now());
-    const auto word = m_ask(owner);
-    owner_word silent;
-    silent.incoming_bytes = unanswered_bytes;
-    m_targets.told(owner, word.value_or(silent), steady_clock::now());
+    const auto begin = steady_clock::now();
+    const auto word = owner->rpc == m_config.own ? std::optional(m_local.word())
+                                                 : m_ask(owner->rpc);
+    const auto now = steady_clock::now();
+    --all.open;
+    if (word)
+    {
+        m_targets.told(owner->rpc, *word, now - begin, now);
+        all.answered_by(owner);
+    }
+    all.timer.cancel();
 }
 
 } // namespace tillerhall
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -53,16 +53,6 @@
                                                        : region_distance_ms);
 }
 
-/** @return the cost of @p bytes on a link, 0 if its speed is not told. */
-double link_ms(double bytes, std::uint32_t link_mbps)
-{
-    constexpr double bits = 8;
-    constexpr double bits_per_ms_and_mbps = 1000;
-    if (link_mbps == 0)
-        return 0;
-    return link_weight * bytes * bits / (bits_per_ms_and_mbps * link_mbps);
-}
-
 double seconds(duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -149,6 +139,24 @@
     return seen;
 }
 
+double target_board::link_ms(const call_origin& from,
+                             const member& to,
+                             const record& known,
+                             time_point now)
+{
+    const bool is_here = from.node != nullptr && *from.node == to.rpc;
+    if (is_here || to.link_mbps == 0)
+        return 0;
+    constexpr double bits = 8;
+    constexpr double bits_per_ms_and_mbps = 1000;
+    const bool asked = now < known.asked + word_of_link_holds;
+    const double ahead = asked ? known.incoming_bytes : 0;
+    const double waits = asked ? known.round_trip_ms : 0;
+    const double bytes = ahead + static_cast<double>(from.bytes);
+    return link_weight *
+           (waits + bytes * bits / (bits_per_ms_and_mbps * to.link_mbps));
+}
+
 std::optional<chosen_target>
 target_board::choose(const route_view& routes,
                      const std::string& service,
@@ -193,14 +201,8 @@
     {
         const auto& known = record_of(each->rpc, now);
         standings.push_back(standing(known, now));
-        const bool is_here = from.node != nullptr && *from.node == each->rpc;
-        const double ahead =
-            now < known.asked + word_of_link_holds ? known.incoming_bytes : 0;
-        const double way =
-            is_here ? 0
-                    : link_ms(ahead + static_cast<double>(from.bytes),
-                              each->link_mbps);
-        standings.back().distance_ms = distance_ms(from, each->place) + way;
+        standings.back().distance_ms =
+            distance_ms(from, each->place) + link_ms(from, *each, known, now);
     }
     std::vector<std::size_t> usable;
     for (std::size_t i = 0; i < left.size(); ++i)
@@ -285,11 +287,13 @@
 
 void target_board::told(const address& owner,
                         const owner_word& word,
+                        duration round_trip,
                         time_point now)
 {
     const std::lock_guard lock(m_mutex);
     auto& of = record_of(owner, now);
     take_word(of, word);
+    of.round_trip_ms = seconds(round_trip) * 1000;
     of.incoming_bytes = static_cast<double>(word.incoming_bytes);
     of.asked = now;
 }
