Full links refuse large bodies at once; shedding asks for the cause

And targets shed up to half of their calls while a grey service further down refused more than half whatever the load: 6,178 refusals that could not help.

A body that would be on its way longer than a fifth of its objective is refused before it is sent, with the time that the link needs. Shedding counts only the part of the failures that the calls of this host found no room for.

Ruled out on the way: a larger part of the budget of second sends (calls of runs that were repeats count as repeats, so 0.8 would break the bound).

--- a/include/tillerhall/proxy/owner_choice.hpp
+++ b/include/tillerhall/proxy/owner_choice.hpp
@@ -12,6 +12,14 @@
 class worker;
 struct entry_settings;
 
+/** The owner for a call, or why there is none. */
+struct chosen_owner
+{
+    member_ptr owner; ///< null if none is left or all links are full
+    /** How long the links of the owners are full; zero if they are not. */
+    duration links_full{};
+};
+
 /**
  * Chooses by what is known of the owners. For a large body it asks a few of
  * them first: what they tell is fresh, and how long the answer takes tells
@@ -34,11 +42,13 @@
      * @param candidates owners of the service's targets
      * @param avoid those that were tried for this call
      * @param bytes of the call's body
-     * @return the owner, null if none is left.
+     * @param objective of the call; a body that would be on its way for more
+     * than a part of it is not sent
      */
-    member_ptr choose(const std::vector<member_ptr>& candidates,
-                      const std::vector<address>& avoid,
-                      std::size_t bytes);
+    chosen_owner choose(const std::vector<member_ptr>& candidates,
+                        const std::vector<address>& avoid,
+                        std::size_t bytes,
+                        duration objective);
 
 private:
     struct inquiry;
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -54,6 +54,12 @@
     /** @return what entries choose by: load, speed, what is on its way. */
     owner_word word() const;
 
+    /**
+     * A call that began at this host got no answer; the target may have made
+     * it. @param for_want_of_room no target had room for it
+     */
+    void call_failed(bool for_want_of_room);
+
     /** Bodies that other nodes are sending to this one. */
     byte_backlog& incoming() noexcept { return m_incoming; }
 
--- a/include/tillerhall/routing/failure_shedder.hpp
+++ b/include/tillerhall/routing/failure_shedder.hpp
@@ -10,18 +10,20 @@
 {
 
 /**
- * A run that fails because a call of its own was refused has taken a slot
+ * A run that fails because a call of its own found no room has taken a slot
  * here and places further down for nothing. While more of the runs fail than
  * chance explains, about as large a share of the calls is shed: with two calls
- * a run, what is offered further down then falls to what is served there. The
- * share follows the runs of the last one to two seconds, however few a target
+ * a run, what is offered further down then falls to what is served there.
+ * Where calls fail for other reasons (targets that refuse or lose some of
+ * them whatever the load), fewer runs would fail no less often, so only the
+ * part of the failures counts that the calls of this host found no room for.
+ * The share follows the last one to two seconds, however few runs a target
  * has, so that it ends soon after the cause. Pure.
  */
 class failure_shedder
 {
 public:
-    /** Of the last runs so many fail by chance, or from faults (a grey target
-     * further down) that shedding does not mend. */
+    /** Of the last runs so many may fail by chance. */
     static constexpr double free_share = 0.15;
     /** Past this the failures do not come from the load. */
     static constexpr double most_shed = 0.5;
@@ -38,6 +40,14 @@
         m_newest.failed += failed ? 1 : 0;
     }
 
+    /** A call of this host got no answer. */
+    void call_failed(bool for_want_of_room, time_point now) noexcept
+    {
+        turn(now);
+        m_newest.calls_failed += 1;
+        m_newest.found_no_room += for_want_of_room ? 1 : 0;
+    }
+
     /** @return the share of calls that is shed at @p now. */
     double share(time_point now) noexcept
     {
@@ -45,7 +55,10 @@
         const double runs = m_newest.runs + m_before.runs;
         const double failed = m_newest.failed + m_before.failed;
         const double failing = failed / std::max(least_runs, runs);
-        return std::clamp(failing - free_share, 0.0, most_shed);
+        const double calls = m_newest.calls_failed + m_before.calls_failed;
+        const double no_room = m_newest.found_no_room + m_before.found_no_room;
+        const double by_load = no_room / std::max(1.0, calls);
+        return std::clamp((failing - free_share) * by_load, 0.0, most_shed);
     }
 
     /** @param point random in [0, 1) @return whether a call is shed now. */
@@ -59,6 +72,8 @@
     {
         double runs = 0;
         double failed = 0;
+        double calls_failed = 0;
+        double found_no_room = 0;
     };
 
     void turn(time_point now) noexcept
--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -112,6 +112,13 @@
               duration round_trip,
               time_point now);
 
+    /**
+     * @return how long a call would be on the link of @p to: the wait before
+     * it, as told a moment ago, and its own bytes; zero if not known.
+     */
+    duration
+    time_on_link(const member& to, const call_origin& from, time_point now);
+
     /** Counts a call of @p service towards its retry budget. */
     void count_call(const std::string& service, std::int64_t percent);
 
@@ -148,7 +155,7 @@
     void take_word(record& of, const owner_word& word);
     record& record_of(const address& owner, time_point now);
     target_standing standing(const record& of, time_point now) const;
-    /** @return the cost of the way over the link of @p to. */
+    /** @return milliseconds, see `time_on_link`. */
     static double link_ms(const call_origin& from,
                           const member& to,
                           const record& known,
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -210,8 +210,15 @@
     while (true)
     {
         const auto view = m_board.targets.get();
-        const auto owner = m_choice.choose(view->of(service), state.tried,
-                                           request.message.body().size());
+        const auto chosen = m_choice.choose(view->of(service), state.tried,
+                                            request.message.body().size(),
+                                            state.call.objective);
+        const auto& owner = chosen.owner;
+        if (chosen.links_full > duration::zero())
+        {
+            last.reason = "links_full";
+            last.retry_after = chosen.links_full;
+        }
         if (!owner)
             return failure ? std::move(*failure) : last;
         last = try_one(request, state, *owner, scope);
@@ -346,6 +353,8 @@
                         std::string(name_of(answer.end)) + "\"";
     m_board.metrics.get("tillerhall_calls_total", labels).add();
     const auto took = to_ms(steady_clock::now() - start);
+    if (answer.end != call_end::answered && answer.end != call_end::cancelled)
+        m_local.call_failed(answer.end == call_end::not_run && !answer.reached);
     if (answer.end == call_end::answered)
         return m_board.metrics
             .histogram("tillerhall_call_ms",
--- a/src/proxy/owner_choice.cpp
+++ b/src/proxy/owner_choice.cpp
@@ -20,9 +20,14 @@
 // Behind the first answer the others have this long. Who takes longer has
 // about a body (60 KB at 10 Mbit/s) more before it on its link.
 constexpr milliseconds later_answers(50);
-// If nobody answers by then, all links are full and the best known is taken.
+// If nobody answers by then, all links are full, or this node's own is.
 constexpr milliseconds first_answer(200);
 
+// A body that takes more of its objective on the way is mostly late, and what
+// is behind it on that link is late for it. The calls that targets make have
+// such objectives (200 of 1000 ms), and must not wait longer either.
+constexpr int way_part = 5;
+
 } // namespace
 
 /** One question to several owners; outlives the asking. */
@@ -61,20 +66,27 @@
 {
 }
 
-member_ptr owner_choice::choose(const std::vector<member_ptr>& candidates,
-                                const std::vector<address>& avoid,
-                                std::size_t bytes)
+chosen_owner owner_choice::choose(const std::vector<member_ptr>& candidates,
+                                  const std::vector<address>& avoid,
+                                  std::size_t bytes,
+                                  duration objective)
 {
     const call_origin from{&m_config.place, &m_config.own, bytes};
     const auto best = [&](const std::vector<member_ptr>& among)
     { return m_targets.choose_among(among, avoid, from, steady_clock::now()); };
     if (bytes < large_body)
-        return best(candidates);
+        return {best(candidates)};
     const auto asked = whom_to_ask(candidates, avoid, from);
     if (asked.size() < 2)
-        return best(asked);
+        return {best(asked)};
     const auto answered = ask(asked);
-    return best(answered.empty() ? asked : answered);
+    if (answered.empty())
+        return {nullptr, first_answer};
+    const auto owner = best(answered);
+    const auto way = m_targets.time_on_link(*owner, from, steady_clock::now());
+    if (way > objective / way_part)
+        return {nullptr, way};
+    return {owner};
 }
 
 std::vector<member_ptr>
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -94,6 +94,11 @@
             m_incoming.bytes()};
 }
 
+void target_owner::call_failed(bool for_want_of_room)
+{
+    m_shedder.call_failed(for_want_of_room, steady_clock::now());
+}
+
 owner_answer target_owner::refuse(std::string reason) const
 {
     m_board.metrics.get("tillerhall_refused_total", "reason=\"" + reason + "\"")
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -153,8 +153,16 @@
     const double ahead = asked ? known.incoming_bytes : 0;
     const double waits = asked ? known.round_trip_ms : 0;
     const double bytes = ahead + static_cast<double>(from.bytes);
-    return link_weight *
-           (waits + bytes * bits / (bits_per_ms_and_mbps * to.link_mbps));
+    return waits + bytes * bits / (bits_per_ms_and_mbps * to.link_mbps);
+}
+
+duration target_board::time_on_link(const member& to,
+                                    const call_origin& from,
+                                    time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    return milliseconds(static_cast<std::int64_t>(
+        link_ms(from, to, record_of(to.rpc, now), now)));
 }
 
 std::optional<chosen_target>
@@ -202,7 +210,8 @@
         const auto& known = record_of(each->rpc, now);
         standings.push_back(standing(known, now));
         standings.back().distance_ms =
-            distance_ms(from, each->place) + link_ms(from, *each, known, now);
+            distance_ms(from, each->place) +
+            link_weight * link_ms(from, *each, known, now);
     }
     std::vector<std::size_t> usable;
     for (std::size_t i = 0; i < left.size(); ++i)
--- /dev/null
+++ b/tests/integration/owner_choice.cpp
@@ -0,0 +1,178 @@
+/** @file Which owner a large body goes to. */
+#include "tillerhall/proxy/owner_choice.hpp"
+#include "tillerhall/core/worker.hpp"
+#include "tillerhall/proxy/call_entry.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace tillerhall;
+
+namespace
+{
+
+constexpr std::size_t large = 60'000;
+constexpr duration objective = std::chrono::seconds(1);
+const member_place near_place{"r", "near"};
+const member_place far_place{"r", "far"};
+
+member_ptr owner_at(std::uint16_t port, const member_place& place)
+{
+    auto made = std::make_shared<member>();
+    made->rpc = {"10.0.0.1", port};
+    made->place = place;
+    made->link_mbps = 10;
+    return made;
+}
+
+/** An entry with a choice whose owners answer as the test says. */
+struct fixture
+{
+    explicit fixture(worker& on)
+        : owner(names, service, board, targets, on, "127.0.0.1")
+        , choice(config,
+                 seen,
+                 owner,
+                 on,
+                 [this](const address& peer)
+                 {
+                     ++asked;
+                     return answer(peer);
+                 })
+    {
+        config.place = near_place;
+        config.own = {"10.0.0.1", 1};
+    }
+
+    wire_names names;
+    std::string service = "s";
+    blackboard board;
+    target_register targets;
+    target_owner owner;
+    entry_settings config;
+    target_board seen{**find_policy("least_time"), 7};
+    int asked = 0;
+    std::function<std::optional<owner_word>(const address&)> answer =
+        [](const address&) { return owner_word{}; };
+    owner_choice choice;
+    std::vector<member_ptr> owners{owner_at(2, near_place),
+                                   owner_at(3, near_place),
+                                   owner_at(4, far_place)};
+};
+
+void with_worker(const std::function<void(worker&, fixture&)>& body)
+{
+    run_main_fiber(
+        [&](worker& on)
+        {
+            fixture made(on);
+            body(on, made);
+            return 0;
+        });
+}
+
+} // namespace
+
+TEST_CASE("nobody is asked before a small body")
+{
+    with_worker(
+        [](worker&, fixture& made)
+        {
+            const auto chosen =
+                made.choice.choose(made.owners, {}, 500, objective);
+            CHECK(chosen.owner != nullptr);
+            CHECK(made.asked == 0);
+        });
+}
+
+TEST_CASE("a large body stays in its domain while the links there are free")
+{
+    with_worker(
+        [](worker&, fixture& made)
+        {
+            for (int i = 0; i < 20; ++i)
+            {
+                const auto chosen =
+                    made.choice.choose(made.owners, {}, large, objective);
+                REQUIRE(chosen.owner);
+                CHECK(chosen.owner->place == near_place);
+            }
+            CHECK(made.asked == 60);
+        });
+}
+
+TEST_CASE("a large body goes where less is on its way, also to another domain")
+{
+    with_worker(
+        [](worker&, fixture& made)
+        {
+            made.answer = [](const address& peer)
+            {
+                owner_word word;
+                word.incoming_bytes = peer.port == 4 ? 0 : 400'000;
+                return word;
+            };
+            const auto chosen =
+                made.choice.choose(made.owners, {}, large, objective);
+            REQUIRE(chosen.owner);
+            CHECK(chosen.owner->rpc.port == 4);
+        });
+}
+
+TEST_CASE("owners that do not answer hold nobody up and get no large body")
+{
+    with_worker(
+        [](worker& on, fixture& made)
+        {
+            int late = 0;
+            made.answer = [&](const address& peer) -> std::optional<owner_word>
+            {
+                if (peer.port == 3)
+                    return owner_word{};
+                sleep_for(on.io(), milliseconds(600));
+                ++late;
+                return std::nullopt;
+            };
+            const auto chosen =
+                made.choice.choose(made.owners, {}, large, objective);
+            REQUIRE(chosen.owner);
+            CHECK(chosen.owner->rpc.port == 3);
+            while (late < 2) // they still use what the test owns
+                sleep_for(on.io(), milliseconds(10));
+            sleep_for(on.io(), milliseconds(10));
+        });
+}
+
+TEST_CASE("with all links full a large body is refused with the time to wait")
+{
+    with_worker(
+        [](worker&, fixture& made)
+        {
+            made.answer = [](const address&)
+            {
+                owner_word word;
+                word.incoming_bytes = 1'000'000; // 0.8 s at 10 Mbit/s
+                return word;
+            };
+            const auto chosen =
+                made.choice.choose(made.owners, {}, large, objective);
+            CHECK(chosen.owner == nullptr);
+            CHECK(chosen.links_full >= milliseconds(800));
+            made.answer = [](const address&) { return std::nullopt; };
+            CHECK(made.choice.choose(made.owners, {}, large, objective)
+                      .links_full > duration::zero());
+        });
+}
+
+TEST_CASE("an owner that was tried is not asked again")
+{
+    with_worker(
+        [](worker&, fixture& made)
+        {
+            const std::vector<address> tried{made.owners[0]->rpc,
+                                             made.owners[2]->rpc};
+            const auto chosen =
+                made.choice.choose(made.owners, tried, large, objective);
+            REQUIRE(chosen.owner);
+            CHECK(chosen.owner->rpc == made.owners[1]->rpc);
+        });
+}
--- a/tests/unit/fleet_budget.cpp
+++ b/tests/unit/fleet_budget.cpp
@@ -82,7 +82,10 @@
     auto now = time_point(std::chrono::hours(1));
     CHECK_FALSE(shedder.sheds(0, now));
     for (int i = 0; i < 100; ++i)
+    {
         shedder.ran(true, now);
+        shedder.call_failed(true, now);
+    }
     CHECK(shedder.share(now) == failure_shedder::most_shed);
     CHECK(shedder.sheds(0.4, now));
     CHECK_FALSE(shedder.sheds(0.6, now));
@@ -96,6 +99,7 @@
 {
     failure_shedder shedder;
     auto now = time_point(std::chrono::hours(1));
+    shedder.call_failed(true, now);
     for (int i = 0; i < 40; ++i)
         shedder.ran(true, now);
     REQUIRE(shedder.sheds(0, now));
@@ -113,5 +117,22 @@
     failure_shedder shedder;
     const auto now = time_point(std::chrono::hours(1));
     shedder.ran(true, now);
+    shedder.call_failed(true, now);
     CHECK_FALSE(shedder.sheds(0, now));
 }
+
+TEST_CASE("runs that fail for other reasons than want of room shed nothing")
+{
+    failure_shedder shedder;
+    const auto now = time_point(std::chrono::hours(1));
+    for (int i = 0; i < 100; ++i)
+    {
+        shedder.ran(true, now);
+        shedder.call_failed(false, now);
+    }
+    CHECK_FALSE(shedder.sheds(0, now));
+    for (int i = 0; i < 100; ++i)
+        shedder.call_failed(true, now);
+    CHECK(shedder.share(now) > 0.4); // half of the failures found no room
+    CHECK(shedder.share(now) < 0.5);
+}
