Connections that rest have no fiber

Ruled out: the tables of routes (1,900 routes are about 1 MB) and the pools of outgoing streams (1 KB each).

A session lives on the heap and waits with a plain read of 512 bytes; a fiber runs only while there is something to read or to answer. Reading away behind the last answer needs no fiber either.

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -7,10 +7,9 @@
 #include "tillerhall/http/whole_message.hpp"
 #include "tillerhall/routing/call_route.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/fiber/condition_variable.hpp>
-#include <boost/fiber/mutex.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -47,17 +46,22 @@
  * answered run at once; answers go out in the order of the requests. The
  * connection is read all the time, so a client that leaves is seen at once
  * and its calls are cancelled.
+ *
+ * A fiber runs only while there are bytes to read or calls to answer: most
+ * connections rest, hundreds a node in a large fleet, and each stack that was
+ * used once keeps some 16 KB. The session lives as long as any of its reads
+ * or calls.
  */
-class call_session
+class call_session : public std::enable_shared_from_this<call_session>
 {
 public:
     /** Calls of one connection at once; what follows waits unread. */
     static constexpr std::size_t most_pending = 64;
 
-    call_session(worker& on, tcp_stream& stream, const session_host& host);
-
-    /** Serves until the connection ends and every call of it is done. */
-    void run();
+    /** Serves @p stream until it ends and every call of it is done. */
+    static void serve(worker& on,
+                      std::shared_ptr<tcp_stream> stream,
+                      const session_host& host);
 
 private:
     using request_parser =
@@ -81,7 +85,14 @@
         ended  ///< nothing more will come
     };
 
-    void read_all();
+    call_session(worker& on,
+                 std::shared_ptr<tcp_stream> stream,
+                 const session_host& host);
+
+    void wait_for_bytes();
+    void got_bytes(const boost::system::error_code& failed, std::size_t size);
+    void read_calls();
+    bool read_call();
     read_outcome read_one(pending_call& into, request_fault& fault);
     read_outcome read_head(request_parser& parser,
                            const client_limits& limits,
@@ -89,24 +100,23 @@
     bool read_body(request_parser& parser,
                    const client_limits& limits,
                    request_fault& fault);
-    bool wait_for_bytes(const client_limits& limits);
     bool send_continue();
     void start(const pending_ptr& call);
     void finish(pending_call& call);
     void write_ready();
+    void write_next();
     bool write_one(pending_call& call);
-    void wait_for_room();
-    void wait_until_empty();
     void drop_all();
     void linger();
 
     worker& m_worker;
-    tcp_stream& m_stream;
+    std::shared_ptr<tcp_stream> m_stream;
     const session_host& m_host;
     boost::beast::flat_buffer m_buffer;
     std::deque<pending_ptr> m_pending;
-    boost::fibers::mutex m_mutex;
-    boost::fibers::condition_variable m_changed;
+    std::unique_ptr<boost::asio::steady_timer> m_linger_end;
+    bool m_reading = false;    ///< a read is under way or its bytes are handled
+    bool m_input_done = false; ///< the client's last request was read
     bool m_writing = false;
     bool m_closing = false; ///< the last answer is out or the client is gone
 };
--- a/include/tillerhall/http/listener.hpp
+++ b/include/tillerhall/http/listener.hpp
@@ -17,6 +17,9 @@
 public:
     using session = std::function<void(tcp_stream&)>;
 
+    /** Takes over a connection; it counts as open as long as it is held. */
+    using taker = std::function<void(std::shared_ptr<tcp_stream>)>;
+
     /** Connections at once; further ones are closed and counted. */
     static constexpr std::size_t default_limit = 4096;
 
@@ -31,6 +34,10 @@
     /** Starts accepting; @p body runs in a fiber per connection. */
     void start(session body);
 
+    /** Starts accepting; @p take is called for each connection, outside any
+     * fiber, so that connections that rest cost no stack. */
+    void start_taking(taker take);
+
     /** Stops accepting; connections already open go on. */
     void close();
 
@@ -45,7 +52,7 @@
     listener(worker& on, address local, std::size_t limit);
 
     void accept_loop();
-    void serve(std::shared_ptr<tcp_stream> stream);
+    std::shared_ptr<tcp_stream> counted(std::shared_ptr<tcp_stream> stream);
 
     worker& m_worker;
     boost::asio::basic_socket_acceptor<boost::asio::ip::tcp,
@@ -55,7 +62,7 @@
     std::size_t m_limit;
     std::size_t m_open = 0;
     std::uint64_t m_refused = 0;
-    session m_body;
+    taker m_take;
 };
 
 } // namespace tillerhall
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -23,7 +23,8 @@
 // What the client sent before it saw the end is read for this long, since
 // closing with unread bytes would reset the connection and lose the answer.
 constexpr std::chrono::seconds linger_time(1);
-constexpr std::size_t first_read_bytes = 4 * 1024;
+// A typical head; each connection that rests holds so much.
+constexpr std::size_t first_read_bytes = 512;
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 
 request_fault fault_for(const boost::system::error_code& failed)
@@ -47,73 +48,108 @@
 } // namespace
 
 call_session::call_session(worker& on,
-                           tcp_stream& stream,
+                           std::shared_ptr<tcp_stream> stream,
                            const session_host& host)
     : m_worker(on)
-    , m_stream(stream)
+    , m_stream(std::move(stream))
     , m_host(host)
 {
 }
 
-void call_session::run()
+void call_session::serve(worker& on,
+                         std::shared_ptr<tcp_stream> stream,
+                         const session_host& host)
 {
-    read_all();
-    wait_until_empty();
-    linger();
+    const std::shared_ptr<call_session> made(
+        new call_session(on, std::move(stream), host));
+    made->wait_for_bytes();
 }
 
-void call_session::read_all()
+void call_session::wait_for_bytes()
 {
-    while (!m_closing)
+    m_reading = true;
+    m_stream->expires_after(
+        m_host.limits().idle_timeout +
+        (m_pending.empty() ? duration::zero() : duration(longest_call)));
+    m_stream->async_read_some(
+        m_buffer.prepare(first_read_bytes),
+        [self = shared_from_this()](const boost::system::error_code& failed,
+                                    std::size_t size)
+        { self->got_bytes(failed, size); });
+}
+
+void call_session::got_bytes(const boost::system::error_code& failed,
+                             std::size_t size)
+{
+    m_reading = false;
+    if (failed && m_linger_end)
+        m_linger_end->cancel(); // nothing is left to wait for
+    if (failed)
+        return m_closing ? void() : drop_all();
+    m_buffer.commit(size);
+    if (!m_closing)
+        return m_worker.spawn([self = shared_from_this()]
+                              { self->read_calls(); });
+    // Behind the last answer: read away, so that closing does not reset.
+    m_buffer.clear();
+    if (m_stream->socket().is_open())
+        wait_for_bytes();
+}
+
+void call_session::read_calls()
+{
+    m_reading = true;
+    bool goes_on = true;
+    while (goes_on && m_buffer.size() != 0 && m_pending.size() < most_pending)
+        goes_on = read_call();
+    m_reading = false;
+    m_input_done = !goes_on;
+    if (m_buffer.size() == 0)
     {
-        wait_for_room();
-        auto call = std::make_shared<pending_call>();
-        request_fault fault;
-        const auto outcome = read_one(*call, fault);
-        if (outcome == read_outcome::ended)
-            return m_closing ? void() : drop_all();
-        if (m_closing)
-            return; // read behind the last answer: never handled
-        m_pending.push_back(call);
-        if (outcome == read_outcome::fault)
-        {
-            call->response = m_host.refuse(fault);
-            call->last = true;
-            return finish(*call);
-        }
-        call->last = !call->request.message.keep_alive();
-        const bool last = call->last;
-        start(call);
-        if (last)
-            return;
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
     }
+    const bool lingers = m_linger_end && m_stream->socket().is_open();
+    // With too many calls under way the next answer that is out reads on.
+    if (lingers || (goes_on && m_pending.size() < most_pending))
+        wait_for_bytes();
 }
 
-bool call_session::wait_for_bytes(const client_limits& limits)
+bool call_session::read_call()
 {
-    if (m_buffer.size() != 0)
-        return true;
-    boost::system::error_code failed;
-    m_stream.expires_after(
-        limits.idle_timeout +
-        (m_pending.empty() ? duration::zero() : duration(longest_call)));
-    const auto size = m_stream.async_read_some(
-        m_buffer.prepare(first_read_bytes), await{failed});
-    m_buffer.commit(size);
-    return !failed;
+    auto call = std::make_shared<pending_call>();
+    request_fault fault;
+    const auto outcome = read_one(*call, fault);
+    if (m_closing)
+        return false; // read behind the last answer: never handled
+    if (outcome == read_outcome::ended)
+    {
+        drop_all();
+        return false;
+    }
+    m_pending.push_back(call);
+    if (outcome == read_outcome::fault)
+    {
+        call->response = m_host.refuse(fault);
+        call->last = true;
+        finish(*call);
+        return false;
+    }
+    call->last = !call->request.message.keep_alive();
+    const bool last = call->last;
+    start(call);
+    return !last;
 }
 
 call_session::read_outcome call_session::read_head(request_parser& parser,
                                                    const client_limits& limits,
                                                    request_fault& fault)
 {
-    if (!wait_for_bytes(limits))
-        return read_outcome::ended;
     parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     parser.body_limit(limits.body_bytes);
-    m_stream.expires_after(limits.head_timeout);
+    m_stream->expires_after(limits.head_timeout);
     boost::system::error_code failed;
-    http::async_read_header(m_stream, m_buffer, parser, await{failed});
+    http::async_read_header(*m_stream, m_buffer, parser, await{failed});
     if (!failed)
         return read_outcome::call;
     if (!is_malformed(failed))
@@ -125,7 +161,7 @@
 bool call_session::send_continue()
 {
     boost::system::error_code failed;
-    boost::asio::async_write(m_stream, boost::asio::buffer(continue_line),
+    boost::asio::async_write(*m_stream, boost::asio::buffer(continue_line),
                              await{failed});
     return !failed;
 }
@@ -147,9 +183,9 @@
         return false;
     const byte_backlog::body on_its_way(m_host.incoming,
                                         parser.content_length().value_or(0));
-    m_stream.expires_after(body_timeout);
+    m_stream->expires_after(body_timeout);
     boost::system::error_code failed;
-    http::async_read(m_stream, m_buffer, parser, await{failed});
+    http::async_read(*m_stream, m_buffer, parser, await{failed});
     if (failed && is_malformed(failed))
         fault = fault_for(failed);
     return !failed;
@@ -179,7 +215,7 @@
 void call_session::start(const pending_ptr& call)
 {
     m_worker.spawn(
-        [this, call]
+        [this, self = shared_from_this(), call]
         {
             call->response = m_host.answer(call->request, call->scope);
             call->request.message.body().clear();
@@ -198,29 +234,40 @@
 {
     m_writing = true;
     while (!m_pending.empty() && m_pending.front()->done)
+        write_next();
+    m_writing = false;
+    if (m_closing)
     {
-        const auto call = m_pending.front();
-        // Nothing may end the connection while calls behind this one run.
-        if (m_pending.size() == 1 &&
-            (m_host.ending() || !call->response.keep_alive()))
-            call->last = true;
-        const bool dropped = m_closing;
-        // From here on nothing that was read behind it is handled.
-        m_closing = m_closing || call->last;
-        const bool written = !dropped && write_one(*call);
-        m_pending.pop_front();
-        if (!dropped && !written)
-            drop_all();
-        else if (!dropped && call->last)
-        {
-            boost::system::error_code ignored;
-            m_stream.socket().shutdown(boost::asio::socket_base::shutdown_send,
-                                       ignored);
-        }
-        m_changed.notify_all();
+        if (m_pending.empty())
+            linger();
     }
-    m_writing = false;
-    m_changed.notify_all();
+    else if (!m_reading && !m_input_done)
+    {
+        m_reading = true; // it was full of calls; now there is room
+        m_worker.spawn([self = shared_from_this()] { self->read_calls(); });
+    }
+}
+
+void call_session::write_next()
+{
+    const auto call = m_pending.front();
+    // Nothing may end the connection while calls behind this one run.
+    if (m_pending.size() == 1 &&
+        (m_host.ending() || !call->response.keep_alive()))
+        call->last = true;
+    const bool dropped = m_closing;
+    // From here on nothing that was read behind it is handled.
+    m_closing = m_closing || call->last;
+    const bool written = !dropped && write_one(*call);
+    m_pending.pop_front();
+    if (dropped)
+        return;
+    if (!written)
+        return drop_all();
+    boost::system::error_code ignored;
+    if (call->last)
+        m_stream->socket().shutdown(boost::asio::socket_base::shutdown_send,
+                                    ignored);
 }
 
 bool call_session::write_one(pending_call& call)
@@ -230,43 +277,35 @@
     const bool has_body = call.request.message.method() != http::verb::head;
     if (!has_body)
         call.response.body().clear(); // its length stays told
-    m_stream.expires_after(write_timeout);
+    m_stream->expires_after(write_timeout);
     boost::system::error_code failed;
-    http::async_write(m_stream, call.response, await{failed});
+    http::async_write(*m_stream, call.response, await{failed});
     return !failed;
 }
 
-void call_session::wait_for_room()
-{
-    std::unique_lock lock(m_mutex);
-    m_changed.wait(lock, [this]
-                   { return m_pending.size() < most_pending || m_closing; });
-}
-
-void call_session::wait_until_empty()
-{
-    std::unique_lock lock(m_mutex);
-    m_changed.wait(lock, [this] { return m_pending.empty() && !m_writing; });
-}
-
 void call_session::drop_all()
 {
     m_closing = true;
     boost::system::error_code ignored;
-    m_stream.socket().close(ignored);
+    m_stream->socket().close(ignored);
     for (const auto& each : std::deque(m_pending))
         each->scope.cancel();
 }
 
 void call_session::linger()
 {
-    if (!m_stream.socket().is_open())
+    if (!m_stream->socket().is_open() || m_linger_end)
         return;
-    boost::system::error_code failed;
-    m_stream.expires_after(linger_time);
-    std::array<char, first_read_bytes> scratch{};
-    while (!failed)
-        m_stream.async_read_some(boost::asio::buffer(scratch), await{failed});
+    m_linger_end =
+        std::make_unique<boost::asio::steady_timer>(m_worker.io(), linger_time);
+    m_linger_end->async_wait(
+        [self = shared_from_this()](const boost::system::error_code&)
+        {
+            boost::system::error_code ignored;
+            self->m_stream->socket().close(ignored);
+        });
+    if (!m_reading)
+        wait_for_bytes();
 }
 
 } // namespace tillerhall
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -55,7 +55,14 @@
 
 void listener::start(session body)
 {
-    m_body = std::move(body);
+    start_taking(
+        [this, body = std::move(body)](std::shared_ptr<tcp_stream> stream)
+        { m_worker.spawn([body, stream] { body(*stream); }); });
+}
+
+void listener::start_taking(taker take)
+{
+    m_take = std::move(take);
     m_worker.spawn([this] { accept_loop(); });
 }
 
@@ -79,21 +86,18 @@
         else if (m_open >= m_limit)
             ++m_refused;
         else
-            serve(std::move(stream));
+            m_take(counted(std::move(stream)));
     }
 }
 
-void listener::serve(std::shared_ptr<tcp_stream> stream)
+std::shared_ptr<tcp_stream>
+listener::counted(std::shared_ptr<tcp_stream> stream)
 {
     boost::system::error_code ignored;
     stream->socket().set_option(tcp::no_delay(true), ignored);
     ++m_open;
-    m_worker.spawn(
-        [this, stream]
-        {
-            m_body(*stream);
-            --m_open;
-        });
+    auto* const held = stream.get();
+    return {held, [this, stream](tcp_stream*) { --m_open; }};
 }
 
 } // namespace tillerhall
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -162,9 +162,11 @@
 
     std::optional<owner_word> ask_owner(const address& peer)
     {
-        const auto answer =
-            mesh->pool.call({peer, traffic_kind::other, method::owner_word, {},
-                             owner_word_timeout});
+        const auto answer = mesh->pool.call({peer,
+                                             traffic_kind::other,
+                                             method::owner_word,
+                                             {},
+                                             owner_word_timeout});
         if (!answer)
             return std::nullopt;
         try
@@ -180,10 +182,12 @@
 
     void start()
     {
-        callers->start([this](tcp_stream& stream)
-                       { call_session(on, stream, client_host).run(); });
-        peers->start([this](tcp_stream& stream)
-                     { call_session(on, stream, peer_host).run(); });
+        callers->start_taking(
+            [this](std::shared_ptr<tcp_stream> stream)
+            { call_session::serve(on, std::move(stream), client_host); });
+        peers->start_taking(
+            [this](std::shared_ptr<tcp_stream> stream)
+            { call_session::serve(on, std::move(stream), peer_host); });
         rpc->start([this](tcp_stream& stream) { mesh->server.serve(stream); });
         reports->start(
             [this](tcp_stream& stream)
