--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -81,17 +81,20 @@
 void call_session::got_bytes(const boost::system::error_code& failed,
                              std::size_t size)
 {
-    m_reading = false;
-    if (failed && m_linger_end)
-        m_linger_end->cancel(); // nothing is left to wait for
     if (failed)
+    {
+        m_reading = false;
+        if (m_linger_end)
+            m_linger_end->cancel(); // nothing is left to wait for
         return m_closing ? void() : drop_all();
+    }
     m_buffer.commit(size);
-    if (!m_closing)
+    if (!m_closing) // still reading until the fiber has seen to the bytes
         return m_worker.spawn([self = shared_from_this()]
                               { self->read_calls(); });
     // Behind the last answer: read away, so that closing does not reset.
     m_buffer.clear();
+    m_reading = false;
     if (m_stream->socket().is_open())
         wait_for_bytes();
 }
--- a/tests/integration/mesh_node.cpp
+++ b/tests/integration/mesh_node.cpp
@@ -348,6 +348,50 @@
         });
 }
 
+TEST_CASE("requests that come while answers go out are all answered in order")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            auto stream = connect_stream(
+                on.io(), system.hosts()[0].at["caller"], milliseconds(1000));
+            REQUIRE(stream);
+            constexpr int count = 600;
+            boost::system::error_code failed;
+            std::string answers;
+            (*stream)->expires_after(std::chrono::seconds(20));
+            const auto send = [&]
+            {
+                for (int i = 0; i < count && !failed; ++i)
+                {
+                    const auto text = get("o-" + std::to_string(i), "/fields/");
+                    boost::asio::async_write(**stream,
+                                             boost::asio::buffer(text),
+                                             await{failed});
+                    if (i % 3 == 0) // about as long as an answer takes
+                        sleep_for(on.io(), milliseconds(i % 4));
+                }
+            };
+            const auto last = "answer to o-" + std::to_string(count - 1);
+            const auto receive = [&]
+            {
+                boost::system::error_code ended;
+                boost::asio::async_read_until(
+                    **stream, boost::asio::dynamic_buffer(answers), last,
+                    await{ended});
+                CHECK_FALSE(ended);
+            };
+            run_parallel({send, receive});
+            CHECK_FALSE(failed);
+            std::size_t at = 0;
+            for (int i = 0; i < count && at != std::string::npos; ++i)
+                at = answers.find("answer to o-" + std::to_string(i), at);
+            CHECK(at != std::string::npos);
+            CHECK(system.hosts()[0].node.is_running());
+        });
+}
+
 TEST_CASE("what is no proper request is refused by the limits in force")
 {
     on_worker(
