--- a/tests/integration/mesh_node.cpp
+++ b/tests/integration/mesh_node.cpp
@@ -366,9 +366,8 @@
                 for (int i = 0; i < count && !failed; ++i)
                 {
                     const auto text = get("o-" + std::to_string(i), "/fields/");
-                    boost::asio::async_write(**stream,
-                                             boost::asio::buffer(text),
-                                             await{failed});
+                    boost::asio::async_write(
+                        **stream, boost::asio::buffer(text), await{failed});
                     if (i % 3 == 0) // about as long as an answer takes
                         sleep_for(on.io(), milliseconds(i % 4));
                 }
--- a/tests/support/mesh_system.hpp
+++ b/tests/support/mesh_system.hpp
@@ -7,8 +7,8 @@
 #include "platform_standin/store_standin.hpp"
 #include "tillerhall/core/await.hpp"
 
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <csignal>
--- a/tests/unit/call_routes.cpp
+++ b/tests/unit/call_routes.cpp
@@ -152,3 +152,22 @@
     for (int i = 0; i < 1000; ++i)
         CHECK(shares.next(route) == "b");
 }
+
+TEST_CASE("the longest objective is that of any route, zero without one")
+{
+    CHECK(call_routes().longest_objective() == duration::zero());
+    call_route quick;
+    quick.name = "quick";
+    quick.host = "h";
+    quick.path_prefix = "/quick/";
+    quick.shares = {{"s", 1}};
+    quick.timeout = milliseconds(1'000);
+    quick.most_targets = 1;
+    quick.objective = milliseconds(120);
+    auto slow = quick;
+    slow.path_prefix = "/slow/";
+    slow.objective = milliseconds(500);
+    const auto built = call_routes::build(1, {quick, slow}, {});
+    REQUIRE(built);
+    CHECK((*built)->longest_objective() == milliseconds(500));
+}
