Settings whose keys are no text are refused, not thrown through

A reload by SIGHUP of such a file would have ended a node.

Keys are read as the text they have, others are unknown keys with their remedy; any exception of the YAML library becomes a problem of the file.

The new unit test was red before (TypedBadConversion) and passes.

--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -33,7 +33,7 @@
         {
             read_document(YAML::Load(yaml));
         }
-        catch (const YAML::ParserException& failed)
+        catch (const YAML::Exception& failed)
         {
             fail(failed.mark, error_code::bad_syntax, failed.msg,
                  "write valid YAML");
@@ -43,6 +43,12 @@
     }
 
 private:
+    /** @return the key as it stands, or what no setting is called. */
+    static std::string text_of(const YAML::Node& key)
+    {
+        return key.IsScalar() ? key.Scalar() : "(a key that is no text)";
+    }
+
     void read_document(const YAML::Node& document)
     {
         if (!document.IsMap())
@@ -50,7 +56,7 @@
                         "the settings are not a mapping of sections",
                         "start with node:");
         for (const auto& section : document)
-            read_section(section.first.as<std::string>(), section.first.Mark(),
+            read_section(text_of(section.first), section.first.Mark(),
                          section.second);
         for (const auto& each : setting_table())
             if (each.required && !m_seen.contains(each.path))
@@ -70,8 +76,8 @@
         if (name == objectives_section)
             return read_objectives(section);
         for (const auto& each : section)
-            read_setting(name + "." + each.first.as<std::string>(),
-                         each.first.Mark(), each.second);
+            read_setting(name + "." + text_of(each.first), each.first.Mark(),
+                         each.second);
     }
 
     /** Reads "SERVICE: {answered_percent: 99.9, within_ms: 50}". */
@@ -79,7 +85,7 @@
     {
         for (const auto& each : section)
         {
-            const auto service = each.first.as<std::string>();
+            const auto service = text_of(each.first);
             auto& goal = m_outcome.read.objectives[service];
             if (!each.second.IsMap())
             {
@@ -109,7 +115,7 @@
             goal_entry{"answered_percent", &objective::answered_percent, 0,
                        99.9999},
             goal_entry{"within_ms", &objective::within_ms, 0.1, 3'600'000}};
-        const auto name = key.as<std::string>();
+        const auto name = text_of(key);
         const auto found = std::ranges::find(table, name, &goal_entry::name);
         if (found == table.end())
             return fail(key.Mark(), error_code::unknown_name,
--- a/tests/unit/settings.cpp
+++ b/tests/unit/settings.cpp
@@ -91,3 +91,17 @@
     CHECK_THAT(all_messages(load_settings("/nonexistent.yaml")),
                Catch::Contains("cannot read"));
 }
+
+TEST_CASE("keys that are no text are refused like any unknown key")
+{
+    for (const std::string yaml :
+         {"? [a, b]\n: {c: d}\n", "node:\n  ? [a]\n  : b\n",
+          "objectives:\n  ? {a: b}\n  : {within_ms: 5}\n",
+          "objectives:\n  s:\n    ? [a]\n    : 5\n", "node:\n  ? ~\n  : b\n"})
+    {
+        const auto outcome = parse_settings(yaml, "f");
+        REQUIRE_FALSE(outcome.problems.empty());
+        for (const auto& each : outcome.problems)
+            CHECK_FALSE(each.remedy().empty());
+    }
+}
