A node's own record is made in one place

Two nodes' compositions each built the record by which a node makes itself known, and the link's speed had been added to one of them only, so a tillerd with node.link_mbps set would not have told it. Ruled out to mend now: the start of the two programs' main (alike in ten lines, different in what follows).

Change. self_record has its own header and source; both use it.

--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -4,6 +4,7 @@
 #include "tillerhall/http/api_server.hpp"
 #include "tillerhall/http/call_session.hpp"
 #include "tillerhall/http/listener.hpp"
+#include "tillerhall/node/self_record.hpp"
 #include "tillerhall/proxy/call_entry.hpp"
 
 #include <algorithm>
@@ -36,22 +37,6 @@
 constexpr milliseconds owner_word_timeout(150);
 constexpr milliseconds peer_head_timeout(10'000);
 
-member self_record(const settings& config)
-{
-    member self;
-    self.rpc = config.advertise_rpc;
-    self.peer = config.advertise_peer;
-    self.caller = config.caller;
-    self.operators = config.operators;
-    self.place = {config.region, config.domain};
-    self.service = config.service;
-    self.target = config.target;
-    self.target_is = target_state::down; // until it reports
-    self.link_mbps = static_cast<std::uint32_t>(config.link_mbps);
-    self.incarnation = static_cast<std::uint64_t>(wall_clock_us() / 1000);
-    return self;
-}
-
 entry_settings entry_of(const settings& config)
 {
     entry_settings made;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -6,6 +6,7 @@
 #include "tillerhall/node/claim_controller.hpp"
 #include "tillerhall/node/entry_proxy.hpp"
 #include "tillerhall/node/operator_api.hpp"
+#include "tillerhall/node/self_record.hpp"
 #include "tillerhall/node/source_controller.hpp"
 #include "tillerhall/node/target_controller.hpp"
 #include "tillerhall/store/http_platform.hpp"
@@ -24,21 +25,6 @@
 constexpr milliseconds least_drain(300);
 constexpr milliseconds drain_check(20);
 
-member self_record(const settings& config)
-{
-    member self;
-    self.rpc = config.advertise_rpc;
-    self.peer = config.advertise_peer;
-    self.caller = config.caller;
-    self.operators = config.operators;
-    self.place = {config.region, config.domain};
-    self.service = config.service;
-    self.target = config.target;
-    self.target_is = target_state::down; // until its first health check
-    self.incarnation = static_cast<std::uint64_t>(wall_clock_us() / 1000);
-    return self;
-}
-
 admission_limits limits_for(const settings& config, const route_view& routes)
 {
     admission_limits limits;
