Downloads are a kind of call of their own

Change: call_kind::large_repeatable, decoded by platform/; may_repeat() in place of comparisons with one kind, since now two kinds may run again. What holds a large answer on its way is left as it was: whole messages in memory.

--- a/include/tillerhall/routing/call_route.hpp
+++ b/include/tillerhall/routing/call_route.hpp
@@ -15,13 +15,21 @@
 /** What a route's calls allow the mesh to do with them. */
 enum class call_kind
 {
-    repeatable, ///< may run any number of times
-    once,       ///< may run at most once for each attempt of a client
-    large_once  ///< as `once`, with a large body
+    repeatable,       ///< may run any number of times
+    once,             ///< may run at most once for each attempt of a client
+    large_once,       ///< as `once`, with a large body
+    large_repeatable, ///< as `repeatable`, with a large answer
+    last = large_repeatable
 };
 
 std::string_view name_of(call_kind kind) noexcept;
 
+/** @return whether a call of @p kind may run more than once. */
+constexpr bool may_repeat(call_kind kind) noexcept
+{
+    return kind == call_kind::repeatable || kind == call_kind::large_repeatable;
+}
+
 /** A service and its share of a route's calls. */
 struct service_share
 {
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -257,7 +257,7 @@
 {
     if (last.end == call_end::not_run)
         return state.refused_alike < most_alike;
-    if (state.call.kind != call_kind::repeatable)
+    if (!may_repeat(state.call.kind))
         return false;
     if (last.end == call_end::unknown)
         return true;
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -109,7 +109,7 @@
     const auto left = number_in<std::int64_t>(message[hop_field::time_left_ms]);
     const auto objective =
         number_in<std::int64_t>(message[hop_field::objective_ms]);
-    constexpr auto last_kind = static_cast<unsigned>(call_kind::large_once);
+    constexpr auto last_kind = static_cast<unsigned>(call_kind::last);
     if (call.request_id.empty() || call.service.empty() || !kind ||
         *kind > last_kind || !rank || !left || !objective)
         return std::nullopt;
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -256,7 +256,7 @@
         return answer;
     }
     // Passed on, such a status would promise a client what is not known.
-    if (call.kind != call_kind::repeatable &&
+    if (!may_repeat(call.kind) &&
         std::ranges::find(promising_statuses, status) !=
             promising_statuses.end())
     {
--- a/src/routing/call_routes.cpp
+++ b/src/routing/call_routes.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 3> kind_names{"repeatable", "once",
-                                                     "large_once"};
+constexpr std::array<std::string_view, 4> kind_names{
+    "repeatable", "once", "large_once", "large_repeatable"};
 
 std::string lower_host(std::string_view host)
 {
--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -71,6 +71,34 @@
     CHECK(split->shares[1].weight == 10);
 }
 
+TEST_CASE("every kind of call is read as what it allows")
+{
+    struct reading
+    {
+        const char* kind;
+        call_kind read;
+        bool repeatable;
+    };
+    const std::vector<reading> table{
+        {"safe", call_kind::repeatable, true},
+        {"unsafe", call_kind::once, false},
+        {"upload", call_kind::large_once, false},
+        {"download", call_kind::large_repeatable, true},
+    };
+    for (const auto& each : table)
+    {
+        CAPTURE(each.kind);
+        auto config = good_config();
+        config["routes"].as_array()[0].as_object()["kind"] = each.kind;
+        const auto routes = platform::decode_routes(json::serialize(config));
+        REQUIRE(routes);
+        const auto* route = (*routes)->find("a.example", "/x/1");
+        REQUIRE(route != nullptr);
+        CHECK(route->kind == each.read);
+        CHECK(may_repeat(route->kind) == each.repeatable);
+    }
+}
+
 TEST_CASE("a configuration with a fault is refused whole and the fault named")
 {
     struct fault
