Nested calls are told by the ids of runs, else by the objectives in use

Cause: calls that targets make were told by an objective short beside the longest one of all routes. A version that holds hundreds of idle routes of 1000 ms made every call of clients short (250 of 1000): they waited a third of their objective in place of a sixteenth. Change: an owner registers its runs; a call whose id continues the id of a run was made by it. Where ids tell nothing, the objectives of the calls that an entry sees count, each from 2% of the calls on. The entry tells the owner.

--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -5,6 +5,7 @@
 #include "tillerhall/proxy/owner_choice.hpp"
 #include "tillerhall/proxy/target_owner.hpp"
 #include "tillerhall/routing/fleet_budget.hpp"
+#include "tillerhall/routing/objectives_in_use.hpp"
 #include "tillerhall/routing/share_sequence.hpp"
 #include "tillerhall/routing/target_board.hpp"
 
@@ -66,6 +67,8 @@
         bool may_have_run = false;  ///< in a try whose answer is not known
     };
 
+    /** Finds out whether the call was made by a run of the target here. */
+    void note_maker(owner_call& call);
     owner_answer
     lead(received_request& request, call_state& state, cancel_scope& scope);
     owner_answer try_one(received_request& request,
@@ -102,6 +105,7 @@
     unreachable m_report;
     stream_pool m_pool;
     share_sequence m_shares;
+    objectives_in_use m_objectives;
     std::map<std::string, service_record> m_services;
 };
 
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -4,6 +4,7 @@
 #include "tillerhall/http/whole_message.hpp"
 #include "tillerhall/routing/call_route.hpp"
 #include "tillerhall/routing/target_board.hpp"
+#include "tillerhall/routing/work_class.hpp"
 
 #include <boost/json/object.hpp>
 #include <optional>
@@ -35,6 +36,13 @@
     std::uint32_t rank = 0;
     time_point deadline{};
     duration objective{}; ///< within which an answer is worth most
+    bool nested = false;  ///< made by a target in the course of a run
+
+    work_class work() const
+    {
+        return {rank, std::chrono::duration_cast<milliseconds>(objective),
+                kind};
+    }
 };
 
 /** What became of it. */
--- /dev/null
+++ b/include/tillerhall/proxy/run_register.hpp
@@ -0,0 +1,52 @@
+/** @file The runs under way at a target, to tell the calls that they make. */
+#pragma once
+
+#include "tillerhall/routing/work_class.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tillerhall
+{
+
+/**
+ * Tells which run made a call. A target that makes a call in the course of a
+ * run may name it by the run's own id, a dot and more, as tracing does. Where
+ * targets name their calls otherwise nothing is told. For fibers of one worker.
+ */
+class run_register
+{
+public:
+    /** Registers a run for as long as it lives. */
+    class run
+    {
+    public:
+        run(run_register& in, std::string id, const work_class& work)
+            : m_in(in)
+            , m_at(in.m_runs.emplace(std::move(id), work))
+        {
+        }
+        ~run() { m_in.m_runs.erase(m_at); }
+
+        run(const run&) = delete;
+        run& operator=(const run&) = delete;
+
+    private:
+        run_register& m_in;
+        std::multimap<std::string, work_class, std::less<>>::iterator m_at;
+    };
+
+    /** @return the work of the run that made the call @p id, if one did. */
+    std::optional<work_class> maker_of(std::string_view id);
+
+    /** @return whether an id has ever told of a run here. */
+    bool ids_tell() const noexcept { return m_ids_tell; }
+
+private:
+    std::multimap<std::string, work_class, std::less<>> m_runs;
+    bool m_ids_tell = false;
+};
+
+} // namespace tillerhall
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -8,6 +8,7 @@
 #include "tillerhall/node/blackboard.hpp"
 #include "tillerhall/node/call_admission.hpp"
 #include "tillerhall/proxy/owner_answer.hpp"
+#include "tillerhall/proxy/run_register.hpp"
 #include "tillerhall/proxy/wire_names.hpp"
 #include "tillerhall/routing/failure_shedder.hpp"
 #include "tillerhall/targets/target_register.hpp"
@@ -60,6 +61,9 @@
      */
     void call_failed(bool for_want_of_room);
 
+    /** Runs under way at the target. */
+    run_register& runs() noexcept { return m_runs; }
+
     /** Bodies that other nodes are sending to this one. */
     byte_backlog& incoming() noexcept { return m_incoming; }
 
@@ -83,6 +87,7 @@
     stream_pool m_pool;
     target_lost m_lost;
     byte_backlog m_incoming;
+    run_register m_runs;
     bool m_up = true;
     failure_shedder m_shedder;
     random_source m_random{entropy_seed()};
--- a/include/tillerhall/proxy/wire_names.hpp
+++ b/include/tillerhall/proxy/wire_names.hpp
@@ -36,6 +36,7 @@
 inline constexpr const char* origin = "Tillerhall-Origin"; ///< calling service
 inline constexpr const char* time_left_ms = "Tillerhall-Left-Ms";
 inline constexpr const char* objective_ms = "Tillerhall-Objective-Ms";
+inline constexpr const char* nested = "Tillerhall-Nested"; ///< if made by a run
 // In an owner's answer:
 inline constexpr const char* end = "Tillerhall-End";         ///< a `call_end`
 inline constexpr const char* reached = "Tillerhall-Reached"; ///< the target
--- a/include/tillerhall/routing/call_routes.hpp
+++ b/include/tillerhall/routing/call_routes.hpp
@@ -28,9 +28,6 @@
           std::vector<call_route> routes,
           const client_limits& limits);
 
-    /** @return the longest objective of any route; zero if none has one. */
-    duration longest_objective() const noexcept { return m_longest; }
-
     std::uint64_t version() const noexcept { return m_version; }
     const client_limits& limits() const noexcept { return m_limits; }
     const std::vector<call_route>& routes() const noexcept { return m_routes; }
@@ -45,7 +42,6 @@
                            std::string_view target) const;
 
 private:
-    duration m_longest{};
     std::uint64_t m_version = 0;
     client_limits m_limits;
     std::vector<call_route> m_routes;
--- /dev/null
+++ b/include/tillerhall/routing/work_class.hpp
@@ -0,0 +1,26 @@
+/** @file Sorts of calls that an owner treats alike. */
+#pragma once
+
+#include "tillerhall/core/time.hpp"
+#include "tillerhall/routing/call_route.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace tillerhall
+{
+
+/**
+ * Calls of one service with the same terms. A route's name would tell more but
+ * has to cross the network with each call; these are sent anyway.
+ */
+struct work_class
+{
+    std::uint32_t rank = 0;
+    milliseconds objective{0};
+    call_kind kind = call_kind::once;
+
+    friend auto operator<=>(const work_class&, const work_class&) = default;
+};
+
+} // namespace tillerhall
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -187,6 +187,7 @@
     state.call.objective = route.objective > milliseconds::zero()
                                ? route.objective
                                : route.timeout;
+    note_maker(state.call);
     remove_hop_fields(message);
     ++m_board.calls_in_flight;
     auto answer = lead(request, state, scope);
@@ -195,6 +196,17 @@
     return to_client(state, std::move(answer));
 }
 
+void call_entry::note_maker(owner_call& call)
+{
+    const auto objective =
+        std::chrono::duration_cast<milliseconds>(call.objective);
+    m_objectives.saw(objective);
+    auto& runs = m_local.runs();
+    // Where ids tell nothing, targets' calls are told by their objective.
+    call.nested = runs.maker_of(call.request_id).has_value() ||
+                  (!runs.ids_tell() && m_objectives.is_short(objective));
+}
+
 owner_answer call_entry::lead(received_request& request,
                               call_state& state,
                               cancel_scope& scope)
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -17,7 +17,8 @@
     "answered", "not_run", "unknown", "timed_out", "cancelled"};
 constexpr std::array call_fields{
     hop_field::service, hop_field::kind,         hop_field::rank,
-    hop_field::origin,  hop_field::time_left_ms, hop_field::objective_ms};
+    hop_field::origin,  hop_field::time_left_ms, hop_field::objective_ms,
+    hop_field::nested};
 constexpr std::array answer_fields{hop_field::end,
                                    hop_field::reached,
                                    hop_field::load,
@@ -94,6 +95,8 @@
     request.set(hop_field::time_left_ms, std::to_string(std::max<std::int64_t>(
                                              0, to_ms(call.deadline - now))));
     request.set(hop_field::objective_ms, std::to_string(to_ms(call.objective)));
+    if (call.nested)
+        request.set(hop_field::nested, "1");
 }
 
 std::optional<owner_call> take_hop_fields(received_request& request,
@@ -117,6 +120,7 @@
     call.rank = *rank;
     call.deadline = request.received + milliseconds(*left);
     call.objective = milliseconds(*objective);
+    call.nested = message.count(hop_field::nested) != 0;
     for (const auto* name : call_fields)
         message.erase(name);
     return call;
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -28,13 +28,10 @@
 // a quarter, an eighth and a sixteenth of the objective the last served most in
 // time.
 constexpr int wait_part = 16;
-// Calls whose objective is short beside the longest one of the routes are made
-// by targets (at the users 0.2 to 0.27 of it; those of clients 0.8 and more).
-// Refused, they fail a run that already holds a place elsewhere, so they go
-// first and may wait longer. A third is 40 of 120 ms: with 30 ms runs failed
-// for nothing, with 200 ms the calls of clients were refused first.
-constexpr double short_part = 0.45;
-constexpr int short_wait_part = 3;
+// A nested call that is refused fails a run that already holds a place
+// elsewhere, so it may wait longer. A third is 40 of 120 ms: with 30 ms runs
+// failed for nothing, with 200 ms the calls of clients were refused first.
+constexpr int nested_wait_part = 3;
 // Statuses by which a client is promised that its call did not run.
 constexpr std::array promising_statuses{408U, 421U, 429U, 503U};
 
@@ -47,17 +44,10 @@
     return limits;
 }
 
-double seconds_of(duration span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
 /** @return how long a call may be expected to wait before it is refused. */
-duration most_wait(duration objective, duration longest_objective)
+duration most_wait(const owner_call& call)
 {
-    const bool is_short =
-        seconds_of(objective) <= short_part * seconds_of(longest_objective);
-    return objective / (is_short ? short_wait_part : wait_part);
+    return call.objective / (call.nested ? nested_wait_part : wait_part);
 }
 
 bool is_success(const whole_response& response)
@@ -137,13 +127,11 @@
         return shed;
     }
     const auto verdict = m_places.acquire(
-        m_worker.io(),
-        {.deadline = call.deadline,
-         .rank = call.rank,
-         .due = steady_clock::now() + call.objective,
-         .most_wait = most_wait(call.objective,
-                                m_board.call_map.get()->longest_objective()),
-         .scope = &scope});
+        m_worker.io(), {.deadline = call.deadline,
+                        .rank = call.rank,
+                        .due = steady_clock::now() + call.objective,
+                        .most_wait = most_wait(call),
+                        .scope = &scope});
     if (scope.is_cancelled())
     {
         if (verdict == admission_verdict::run)
@@ -162,6 +150,7 @@
         return refuse("no_target_takes_work");
     }
     const auto begin = steady_clock::now();
+    const run_register::run running(m_runs, call.request_id, call.work());
     auto answer = send(request, call, target_report(*target), scope);
     const auto took = answer.end == call_end::answered
                           ? steady_clock::now() - begin
--- a/src/routing/call_routes.cpp
+++ b/src/routing/call_routes.cpp
@@ -67,7 +67,6 @@
     {
         auto& route = made->m_routes[i];
         route.host = lower_host(route.host);
-        made->m_longest = std::max<duration>(made->m_longest, route.objective);
         if (const auto fault = fault_of(route); !fault.empty())
             return refusal(route, fault);
         if (!made->m_index.emplace(route.host + route.path_prefix, i).second)
--- a/tests/unit/call_routes.cpp
+++ b/tests/unit/call_routes.cpp
@@ -1,4 +1,5 @@
 #include "tillerhall/routing/call_routes.hpp"
+#include "tillerhall/routing/objectives_in_use.hpp"
 #include "tillerhall/routing/share_sequence.hpp"
 
 #include <catch2/catch.hpp>
@@ -153,21 +154,26 @@
         CHECK(shares.next(route) == "b");
 }
 
-TEST_CASE("the longest objective is that of any route, zero without one")
+TEST_CASE("short calls are told by the objectives in use")
 {
-    CHECK(call_routes().longest_objective() == duration::zero());
-    call_route quick;
-    quick.name = "quick";
-    quick.host = "h";
-    quick.path_prefix = "/quick/";
-    quick.shares = {{"s", 1}};
-    quick.timeout = milliseconds(1'000);
-    quick.most_targets = 1;
-    quick.objective = milliseconds(120);
-    auto slow = quick;
-    slow.path_prefix = "/slow/";
-    slow.objective = milliseconds(500);
-    const auto built = call_routes::build(1, {quick, slow}, {});
-    REQUIRE(built);
-    CHECK((*built)->longest_objective() == milliseconds(500));
+    objectives_in_use seen;
+    CHECK(seen.longest() == milliseconds(0));
+    for (int i = 0; i < 90; ++i)
+        seen.saw(milliseconds(i % 3 == 0 ? 250 : 60));
+    CHECK(seen.longest() == milliseconds(250));
+    CHECK(seen.is_short(milliseconds(60)));
+    CHECK_FALSE(seen.is_short(milliseconds(150)));
+}
+
+TEST_CASE("a route that hardly any call takes does not make the others short")
+{
+    objectives_in_use seen;
+    for (int i = 0; i < 5'000; ++i)
+        seen.saw(milliseconds(i % 100 == 0 ? 1'000 : 250));
+    CHECK(seen.longest() == milliseconds(250));
+    CHECK_FALSE(seen.is_short(milliseconds(250)));
+    // Once calls take it, it counts, and those before fade.
+    for (int i = 0; i < 5'000; ++i)
+        seen.saw(milliseconds(1'000));
+    CHECK(seen.is_short(milliseconds(250)));
 }
--- a/tests/unit/owner_answer.cpp
+++ b/tests/unit/owner_answer.cpp
@@ -1,4 +1,5 @@
 #include "tillerhall/proxy/owner_answer.hpp"
+#include "tillerhall/proxy/run_register.hpp"
 #include "tillerhall/proxy/wire_names.hpp"
 
 #include <catch2/catch.hpp>
@@ -21,6 +22,7 @@
     call.rank = 3;
     call.deadline = now + milliseconds(700);
     call.objective = milliseconds(120);
+    call.nested = true;
     return call;
 }
 
@@ -42,10 +44,12 @@
     CHECK(read->kind == call_kind::large_once);
     CHECK(read->rank == 3);
     CHECK(read->objective == milliseconds(120));
+    CHECK(read->nested);
     CHECK(to_ms(read->deadline - now) == 700);
     CHECK(request.message["X-Own"] == "kept");
     CHECK(request.message.count(hop_field::service) == 0);
     CHECK(request.message.count(hop_field::origin) == 0);
+    CHECK(request.message.count(hop_field::nested) == 0);
 }
 
 TEST_CASE("a call whose fields are missing or malformed is no owner's call")
@@ -126,3 +130,23 @@
     CHECK(read.end == call_end::unknown);
     CHECK(read.reached);
 }
+
+TEST_CASE("the maker of a call is told by its id while the run lives")
+{
+    run_register runs;
+    const work_class reads{2, milliseconds(200), call_kind::repeatable};
+    const work_class bookings{1, milliseconds(250), call_kind::once};
+    CHECK_FALSE(runs.maker_of("a.1"));
+    CHECK_FALSE(runs.ids_tell());
+    {
+        const run_register::run first(runs, "a", reads);
+        const run_register::run second(runs, "ab", bookings);
+        CHECK(runs.maker_of("a.1") == reads);
+        CHECK(runs.maker_of("a.1.7") == reads);
+        CHECK(runs.maker_of("ab.1") == bookings);
+        CHECK_FALSE(runs.maker_of("a")); // a run does not make itself
+        CHECK_FALSE(runs.maker_of("abc"));
+    }
+    CHECK_FALSE(runs.maker_of("a.1"));
+    CHECK(runs.ids_tell());
+}
