A call waits for those that go before it, each by its own run

Cause: on arrival the expected wait counted all that waited, by one mean of runs of 16 and of 82 ms. Change: expected_wait counts more urgent ranks and what is due sooner, with the mean run of each class of work; can_finish by class, too.

--- a/include/tillerhall/node/call_admission.hpp
+++ b/include/tillerhall/node/call_admission.hpp
@@ -19,6 +19,7 @@
     std::uint32_t rank = 0;               ///< urgency; 0 goes first
     time_point due{};                     ///< by which an answer is worth most
     duration most_wait = duration::max(); ///< refused if it would be more
+    duration run{};                       ///< expected; zero: the mean run
     cancel_scope* scope = nullptr;        ///< ends the wait, if given
 };
 
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -11,6 +11,7 @@
 #include "tillerhall/proxy/run_register.hpp"
 #include "tillerhall/proxy/wire_names.hpp"
 #include "tillerhall/routing/failure_shedder.hpp"
+#include "tillerhall/routing/run_estimates.hpp"
 #include "tillerhall/targets/target_register.hpp"
 
 namespace tillerhall
@@ -88,6 +89,7 @@
     target_lost m_lost;
     byte_backlog m_incoming;
     run_register m_runs;
+    run_estimates m_runs_of;
     bool m_up = true;
     failure_shedder m_shedder;
     random_source m_random{entropy_seed()};
--- a/include/tillerhall/routing/admission.hpp
+++ b/include/tillerhall/routing/admission.hpp
@@ -34,6 +34,16 @@
 
 std::string_view name_of(admission_verdict verdict) noexcept;
 
+/** What is known of a call that arrives. */
+struct arriving_call
+{
+    time_point deadline{};
+    std::uint32_t rank = 0;               ///< urgency; 0 goes first
+    time_point due = time_point::max();   ///< by which an answer is worth most
+    duration most_wait = duration::max(); ///< refused if it would be more
+    duration run{};                       ///< expected; zero: the mean run
+};
+
 /** A call in the queue. It must leave the queue before it is destroyed. */
 struct admission_waiter
     : boost::intrusive::list_base_hook<
@@ -43,6 +53,7 @@
     std::uint32_t rank = 0; ///< urgency; 0 goes first
     time_point deadline{};
     time_point due{}; ///< within a rank and caller the earliest goes first
+    duration run{};   ///< expected; zero: the mean run
     bool granted = false;
     bool expired = false;
     std::function<void()> wake; ///< called once, when granted or expired
@@ -68,10 +79,7 @@
     void set_limits(const admission_limits& limits);
 
     /** Decides on a call; `wait` means that @p waiter should be enqueued. */
-    admission_verdict arrive(time_point now,
-                             time_point deadline,
-                             std::uint32_t rank = 0,
-                             duration most_wait = duration::max());
+    admission_verdict arrive(time_point now, const arriving_call& call);
 
     /** Puts a call that must wait into the queue. */
     void enqueue(admission_waiter& waiter);
@@ -93,8 +101,11 @@
     /** @return when a refused caller may expect a free place. */
     duration retry_after() const noexcept;
 
-    /** @return how long a call of @p rank would wait if it came now. */
-    duration expected_wait(std::uint32_t rank) const noexcept;
+    /**
+     * @return how long a call of @p rank that is due at @p due would wait if
+     * it came now: for a place, and for the runs of those that go before it.
+     */
+    duration expected_wait(std::uint32_t rank, time_point due) const noexcept;
 
     /** @return the mean time of a run at the target, decaying. */
     duration mean_run() const noexcept { return m_mean_run; }
@@ -107,7 +118,13 @@
     void start_one();
     void grant_free_slots(time_point now);
     admission_waiter* next_waiter(time_point now);
-    bool can_finish(time_point now, time_point deadline) const noexcept;
+    bool can_finish(time_point now,
+                    time_point deadline,
+                    duration run) const noexcept;
+    /** @return @p run, or the mean run if that is not known. */
+    duration run_or_mean(duration run) const noexcept;
+    /** @return the runs of the calls of @p rank that are due before @p due. */
+    duration runs_before(std::uint32_t rank, time_point due) const noexcept;
 
     admission_limits m_limits;
     token_bucket m_rate;
--- a/src/node/call_admission.cpp
+++ b/src/node/call_admission.cpp
@@ -16,8 +16,12 @@
     admission_waiter waiter;
     {
         const std::lock_guard lock(m_mutex);
-        const auto verdict = m_admission.arrive(now, asked.deadline, asked.rank,
-                                                asked.most_wait);
+        const auto verdict =
+            m_admission.arrive(now, {.deadline = asked.deadline,
+                                     .rank = asked.rank,
+                                     .due = asked.due,
+                                     .most_wait = asked.most_wait,
+                                     .run = asked.run});
         if (verdict != admission_verdict::wait)
             return verdict;
         timer->expires_at(
@@ -25,6 +29,7 @@
         waiter.caller = asked.caller;
         waiter.rank = asked.rank;
         waiter.due = asked.due;
+        waiter.run = asked.run;
         waiter.deadline = asked.deadline;
         // The timer outlives the call: the wake may come after the wait.
         waiter.wake = [&io, timer]
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -50,6 +50,13 @@
     return call.objective / (call.nested ? nested_wait_part : wait_part);
 }
 
+/** @return whether a whole run ended; a failed one may have ended early. */
+bool is_run(const owner_answer& answer)
+{
+    return answer.end == call_end::answered &&
+           answer.response->result_int() < run_failed;
+}
+
 bool is_success(const whole_response& response)
 {
     return http::to_status_class(response.result()) ==
@@ -131,6 +138,7 @@
                         .rank = call.rank,
                         .due = steady_clock::now() + call.objective,
                         .most_wait = most_wait(call),
+                        .run = m_runs_of.of(call.work(), duration::zero()),
                         .scope = &scope});
     if (scope.is_cancelled())
     {
@@ -156,6 +164,8 @@
                           ? steady_clock::now() - begin
                           : m_places.mean_run();
     m_places.release(took);
+    if (is_run(answer))
+        m_runs_of.ran(call.work(), took);
     if (answer.end == call_end::answered)
         m_shedder.ran(answer.response->result_int() == run_failed,
                       steady_clock::now());
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -46,17 +46,21 @@
     m_limits = limits;
 }
 
-bool admission::can_finish(time_point now, time_point deadline) const noexcept
+duration admission::run_or_mean(duration run) const noexcept
 {
-    return now + m_mean_run < deadline;
+    return run > duration::zero() ? run : m_mean_run;
 }
 
-admission_verdict admission::arrive(time_point now,
-                                    time_point deadline,
-                                    std::uint32_t rank,
-                                    duration most_wait)
+bool admission::can_finish(time_point now,
+                           time_point deadline,
+                           duration run) const noexcept
 {
-    if (!can_finish(now, deadline))
+    return now + run_or_mean(run) < deadline;
+}
+
+admission_verdict admission::arrive(time_point now, const arriving_call& call)
+{
+    if (!can_finish(now, call.deadline, call.run))
         return admission_verdict::deadline_too_near;
     if (m_limits.rate_per_s > 0 && !m_rate.take(now))
         return admission_verdict::rate_exceeded;
@@ -67,7 +71,7 @@
     }
     if (m_waiting >= m_limits.queue ||
         m_limits.queue_wait <= duration::zero() ||
-        expected_wait(rank) > most_wait)
+        expected_wait(call.rank, call.due) > call.most_wait)
         return admission_verdict::queue_full;
     return admission_verdict::wait;
 }
@@ -120,7 +124,7 @@
         next->unlink();
         --m_ranks[next->rank].waiting;
         --m_waiting;
-        if (can_finish(now, next->deadline))
+        if (can_finish(now, next->deadline, next->run))
         {
             next->granted = true;
             start_one();
@@ -159,15 +163,31 @@
     return &next->second.front();
 }
 
-duration admission::expected_wait(std::uint32_t rank) const noexcept
+duration admission::runs_before(std::uint32_t rank,
+                                time_point due) const noexcept
+{
+    duration before{};
+    const auto found = m_ranks.find(rank);
+    if (found == m_ranks.end())
+        return before;
+    for (const auto& [caller, waiting] : found->second.callers)
+        for (const auto& each : waiting)
+            if (each.due <= due)
+                before += run_or_mean(each.run);
+    return before;
+}
+
+duration admission::expected_wait(std::uint32_t rank,
+                                  time_point due) const noexcept
 {
     if (m_in_flight < m_limits.in_flight && m_waiting == 0)
         return duration::zero();
-    std::int64_t ahead = 1;
+    // With all places taken one gets free each mean run / places.
+    auto ahead = m_mean_run;
     for (const auto& [each, queue] : m_ranks)
         if (each <= rank)
-            ahead += queue.waiting;
-    return m_mean_run * ahead / std::max<std::int64_t>(1, m_limits.in_flight);
+            ahead += runs_before(each, each < rank ? time_point::max() : due);
+    return ahead / std::max<std::int64_t>(1, m_limits.in_flight);
 }
 
 double admission::load() const noexcept
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -5,6 +5,7 @@
 #include "tillerhall/distribution/source_freshness.hpp"
 #include "tillerhall/routing/admission.hpp"
 #include "tillerhall/routing/retry_budget.hpp"
+#include "tillerhall/routing/run_estimates.hpp"
 
 #include <list>
 
@@ -108,7 +109,8 @@
         now += milliseconds(1);
         if (arrives)
         {
-            const auto verdict = places.arrive(now, now + seconds(10));
+            const auto verdict =
+                places.arrive(now, {.deadline = now + seconds(10)});
             if (verdict == admission_verdict::run)
                 ++running;
             if (verdict == admission_verdict::wait)
@@ -148,7 +150,8 @@
 {
     admission places({1, 100, seconds(10), 0});
     const auto now = steady_clock::now();
-    CHECK(places.arrive(now, now + seconds(9)) == admission_verdict::run);
+    CHECK(places.arrive(now, {.deadline = now + seconds(9)}) ==
+          admission_verdict::run);
     std::list<admission_waiter> waiting;
     std::vector<std::string> served;
     const auto wait_as = [&](const std::string& caller)
@@ -174,12 +177,12 @@
     const auto now = steady_clock::now();
     for (int i = 0; i < 200; ++i)
     {
-        places.arrive(now, now + seconds(9));
+        places.arrive(now, {.deadline = now + seconds(9)});
         places.leave(now, milliseconds(100));
     }
-    CHECK(places.arrive(now, now + milliseconds(20)) ==
+    CHECK(places.arrive(now, {.deadline = now + milliseconds(20)}) ==
           admission_verdict::deadline_too_near);
-    CHECK(places.arrive(now, now + milliseconds(500)) ==
+    CHECK(places.arrive(now, {.deadline = now + milliseconds(500)}) ==
           admission_verdict::run);
 }
 
@@ -188,25 +191,29 @@
     admission places({4, 0, seconds(1), 0});
     const auto now = steady_clock::now();
     for (int i = 0; i < 4; ++i)
-        CHECK(places.arrive(now, now + seconds(9)) == admission_verdict::run);
+        CHECK(places.arrive(now, {.deadline = now + seconds(9)}) ==
+              admission_verdict::run);
     places.set_limits({1, 0, seconds(1), 0});
     CHECK(places.in_flight() == 4);
     for (int i = 0; i < 3; ++i)
         places.leave(now, milliseconds(1));
-    CHECK(places.arrive(now, now + seconds(9)) ==
+    CHECK(places.arrive(now, {.deadline = now + seconds(9)}) ==
           admission_verdict::queue_full);
     places.leave(now, milliseconds(1));
-    CHECK(places.arrive(now, now + seconds(9)) == admission_verdict::run);
+    CHECK(places.arrive(now, {.deadline = now + seconds(9)}) ==
+          admission_verdict::run);
 }
 
 TEST_CASE("a rate above the limit is refused")
 {
     admission places({100, 0, seconds(1), 10});
     const auto now = steady_clock::now();
-    CHECK(places.arrive(now, now + seconds(9)) == admission_verdict::run);
-    CHECK(places.arrive(now, now + seconds(9)) ==
+    CHECK(places.arrive(now, {.deadline = now + seconds(9)}) ==
+          admission_verdict::run);
+    CHECK(places.arrive(now, {.deadline = now + seconds(9)}) ==
           admission_verdict::rate_exceeded);
-    CHECK(places.arrive(now + milliseconds(150), now + seconds(9)) ==
+    CHECK(places.arrive(now + milliseconds(150),
+                        {.deadline = now + seconds(9)}) ==
           admission_verdict::run);
 }
 
@@ -220,7 +227,7 @@
     std::list<admission_waiter> waiters;
     time_point now = steady_clock::now();
 
-    queue_under_test() { places.arrive(now, now + seconds(9)); }
+    queue_under_test() { places.arrive(now, {.deadline = now + seconds(9)}); }
 
     admission_waiter& add(std::uint32_t rank, milliseconds due)
     {
@@ -275,14 +282,55 @@
     for (int i = 0; i < 200; ++i)
     {
         queue.places.leave(queue.now, milliseconds(100)); // the mean run
-        queue.places.arrive(queue.now, queue.now + seconds(9));
+        queue.places.arrive(queue.now, {.deadline = queue.now + seconds(9)});
     }
-    CHECK(queue.places.arrive(queue.now, queue.now + seconds(9), 0,
-                              milliseconds(150)) == admission_verdict::wait);
+    CHECK(queue.places.arrive(queue.now, {.deadline = queue.now + seconds(9),
+                                          .most_wait = milliseconds(150)}) ==
+          admission_verdict::wait);
     queue.add(0, milliseconds(100));
-    CHECK(queue.places.arrive(queue.now, queue.now + seconds(9), 0,
-                              milliseconds(150)) ==
+    CHECK(queue.places.arrive(queue.now, {.deadline = queue.now + seconds(9),
+                                          .most_wait = milliseconds(150)}) ==
           admission_verdict::queue_full);
     // What is less urgent is not ahead of it.
     queue.waiters.clear();
 }
+
+TEST_CASE("a call waits only for those that go before it, each its own run")
+{
+    queue_under_test queue;
+    for (int i = 0; i < 200; ++i)
+    {
+        queue.places.leave(queue.now, milliseconds(100)); // the mean run
+        queue.places.arrive(queue.now, {.deadline = queue.now + seconds(9)});
+    }
+    auto& later = queue.add(1, milliseconds(500));
+    later.run = milliseconds(80);
+    auto& sooner = queue.add(1, milliseconds(50));
+    sooner.run = milliseconds(16);
+    const auto wait = [&](std::uint32_t rank, milliseconds due)
+    { return queue.places.expected_wait(rank, queue.now + due); };
+    const auto near = [](duration given, milliseconds meant) {
+        return given > meant - milliseconds(1) &&
+               given < meant + milliseconds(1);
+    };
+    CHECK(near(wait(1, milliseconds(60)), milliseconds(100 + 16)));
+    CHECK(near(wait(1, milliseconds(600)), milliseconds(100 + 96)));
+    CHECK(near(wait(0, milliseconds(900)), milliseconds(100)));
+    CHECK(near(wait(2, milliseconds(1)), milliseconds(100 + 96)));
+}
+
+TEST_CASE("runs are known by class of work")
+{
+    run_estimates runs;
+    const work_class lookup{1, milliseconds(60), call_kind::repeatable};
+    const work_class booking{1, milliseconds(250), call_kind::once};
+    CHECK(runs.of(lookup, milliseconds(7)) == milliseconds(7));
+    for (int i = 0; i < 100; ++i)
+    {
+        runs.ran(lookup, milliseconds(16));
+        runs.ran(booking, milliseconds(82));
+    }
+    CHECK(to_ms(runs.of(lookup, {}) + milliseconds(1)) >= 16);
+    CHECK(to_ms(runs.of(lookup, {})) <= 16);
+    CHECK(to_ms(runs.of(booking, {}) + milliseconds(1)) >= 82);
+}
