Targets are compared by their runs of the same class of work

Cause: an owner told one mean over all its runs. Change: with each answer the owner tells its mean run of that class of work; entries keep them by class.

--- a/include/tillerhall/proxy/owner_choice.hpp
+++ b/include/tillerhall/proxy/owner_choice.hpp
@@ -48,7 +48,7 @@
     chosen_owner choose(const std::vector<member_ptr>& candidates,
                         const std::vector<address>& avoid,
                         std::size_t bytes,
-                        duration objective);
+                        const work_class& work);
 
 private:
     struct inquiry;
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -53,9 +53,12 @@
 
     const call_admission& places() const noexcept { return m_places; }
 
-    /** @return what entries choose by: load, speed, what is on its way. */
+    /** @return what entries choose by: load, places, what is on its way. */
     owner_word word() const;
 
+    /** @return the same, and how long runs of @p work take. */
+    owner_word word_on(const work_class& work) const;
+
     /**
      * A call that began at this host got no answer; the target may have made
      * it. @param for_want_of_room no target had room for it
@@ -69,7 +72,7 @@
     byte_backlog& incoming() noexcept { return m_incoming; }
 
 private:
-    owner_answer refuse(std::string reason) const;
+    owner_answer refuse(const owner_call& call, std::string reason) const;
     owner_answer send(const whole_request& request,
                       const owner_call& call,
                       const target_report& target,
--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -6,6 +6,7 @@
 #include "tillerhall/routing/policy.hpp"
 #include "tillerhall/routing/retry_budget.hpp"
 #include "tillerhall/routing/route_view.hpp"
+#include "tillerhall/routing/work_class.hpp"
 
 #include <map>
 #include <mutex>
@@ -29,7 +30,7 @@
 struct owner_word
 {
     std::optional<double> load; ///< calls running and waiting, of its slots
-    double run_ms = 0;          ///< mean run at the target; 0 unknown
+    double run_ms = 0;          ///< mean run of that class of work; 0 unknown
     double slots = 0;           ///< of the target; 0 unknown
     /** Of bodies on their way to the owner; told only when it is asked. */
     std::uint64_t incoming_bytes = 0;
@@ -41,6 +42,16 @@
     const member_place* place = nullptr; ///< null: all ways are alike
     const address* node = nullptr;       ///< the entry; no way to itself
     std::size_t bytes = 0;               ///< of the call's body
+    work_class work;                     ///< by which runs are compared
+};
+
+/** A call to a target that ended. */
+struct ended_call
+{
+    call_verdict verdict = call_verdict::unknown;
+    duration took{};
+    owner_word told; ///< by the owner, with its answer
+    work_class work;
 };
 
 /** A target that was chosen for a call. */
@@ -99,12 +110,8 @@
     /** A call to @p owner begins. */
     void started(const address& owner);
 
-    /** A call to @p owner ended after @p took; @p load is the owner's word. */
-    void ended(const address& owner,
-               call_verdict verdict,
-               duration took,
-               const owner_word& told,
-               time_point now);
+    /** A call to @p owner ended. */
+    void ended(const address& owner, const ended_call& call, time_point now);
 
     /** Takes the word of an owner that was asked; it took @p round_trip. */
     void told(const address& owner,
@@ -130,7 +137,9 @@
     {
         std::uint32_t in_flight = 0;
         double load = 0;
-        double run_ms = 0;
+        /** By class of work: of a mean over all calls, a target that gets the
+         * short ones would look quick and draw the others, too. */
+        std::map<work_class, double> run_ms;
         double slots = 0;
         double failures = 0; ///< decaying share of recent calls
         double refusals = 0; ///< decaying share of recent calls
@@ -152,7 +161,7 @@
     double effective_weight(const place_route& place,
                             const std::vector<address>& avoid,
                             time_point now);
-    void take_word(record& of, const owner_word& word);
+    static void take_word(record& of, const owner_word& word);
     record& record_of(const address& owner, time_point now);
     target_standing standing(const record& of, time_point now) const;
     /** @return milliseconds, see `time_on_link`. */
--- a/src/node/entry_proxy.cpp
+++ b/src/node/entry_proxy.cpp
@@ -253,8 +253,8 @@
                       ? m_local.run(call, context, false)
                       : send_to_peer(call, context, chosen, deadline);
     const auto now = steady_clock::now();
-    m_targets.ended(chosen.owner->rpc, verdict_of(result), now - begin,
-                    {result.load}, now);
+    m_targets.ended(chosen.owner->rpc,
+                    {verdict_of(result), now - begin, {result.load}, {}}, now);
     return result;
 }
 
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -222,9 +222,9 @@
     while (true)
     {
         const auto view = m_board.targets.get();
-        const auto chosen = m_choice.choose(view->of(service), state.tried,
-                                            request.message.body().size(),
-                                            state.call.objective);
+        const auto chosen =
+            m_choice.choose(view->of(service), state.tried,
+                            request.message.body().size(), state.call.work());
         const auto& owner = chosen.owner;
         if (chosen.links_full > duration::zero())
         {
@@ -289,8 +289,9 @@
                       ? m_local.run(request.message, state.call, scope)
                       : send_to_peer(request, state, owner, scope);
     const auto now = steady_clock::now();
-    m_targets.ended(owner.rpc, verdict_of(answer), now - begin, answer.told,
-                    now);
+    m_targets.ended(
+        owner.rpc,
+        {verdict_of(answer), now - begin, answer.told, state.call.work()}, now);
     if (answer.reached)
         ++state.targets_reached;
     if (answer.elsewhere_alike)
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -68,7 +68,6 @@
 boost::json::object to_json(const owner_word& sent)
 {
     return {{"l", sent.load.value_or(0)},
-            {"r", sent.run_ms},
             {"s", sent.slots},
             {"i", sent.incoming_bytes}};
 }
@@ -77,7 +76,6 @@
 {
     owner_word read;
     read.load = boost::json::value_to<double>(members.at("l"));
-    read.run_ms = boost::json::value_to<double>(members.at("r"));
     read.slots = boost::json::value_to<double>(members.at("s"));
     read.incoming_bytes = boost::json::value_to<std::uint64_t>(members.at("i"));
     return read;
--- a/src/proxy/owner_choice.cpp
+++ b/src/proxy/owner_choice.cpp
@@ -69,9 +69,9 @@
 chosen_owner owner_choice::choose(const std::vector<member_ptr>& candidates,
                                   const std::vector<address>& avoid,
                                   std::size_t bytes,
-                                  duration objective)
+                                  const work_class& work)
 {
-    const call_origin from{&m_config.place, &m_config.own, bytes};
+    const call_origin from{&m_config.place, &m_config.own, bytes, work};
     const auto best = [&](const std::vector<member_ptr>& among)
     { return m_targets.choose_among(among, avoid, from, steady_clock::now()); };
     if (bytes < large_body)
@@ -84,7 +84,7 @@
         return {nullptr, first_answer};
     const auto owner = best(answered);
     const auto way = m_targets.time_on_link(*owner, from, steady_clock::now());
-    if (way > objective / way_part)
+    if (way > work.objective / way_part)
         return {nullptr, way};
     return {owner};
 }
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -90,12 +90,22 @@
 
 owner_word target_owner::word() const
 {
-    constexpr double ms_per_s = 1000;
-    const std::chrono::duration<double> run = m_places.mean_run();
     const auto* target = m_targets.in_use();
-    return {m_places.load(), run.count() * ms_per_s,
-            target == nullptr ? 0 : static_cast<double>(target->slots),
-            m_incoming.bytes()};
+    owner_word told;
+    told.load = m_places.load();
+    told.slots = target == nullptr ? 0 : static_cast<double>(target->slots);
+    told.incoming_bytes = m_incoming.bytes();
+    return told;
+}
+
+owner_word target_owner::word_on(const work_class& work) const
+{
+    constexpr double ms_per_s = 1000;
+    const std::chrono::duration<double> run =
+        m_runs_of.of(work, duration::zero());
+    auto told = word();
+    told.run_ms = run.count() * ms_per_s;
+    return told;
 }
 
 void target_owner::call_failed(bool for_want_of_room)
@@ -103,7 +113,8 @@
     m_shedder.call_failed(for_want_of_room, steady_clock::now());
 }
 
-owner_answer target_owner::refuse(std::string reason) const
+owner_answer target_owner::refuse(const owner_call& call,
+                                  std::string reason) const
 {
     m_board.metrics.get("tillerhall_refused_total", "reason=\"" + reason + "\"")
         .add();
@@ -111,7 +122,7 @@
     refused.end = call_end::not_run;
     refused.reason = std::move(reason);
     refused.retry_after = m_places.retry_after();
-    refused.told = word();
+    refused.told = word_on(call.work());
     return refused;
 }
 
@@ -120,16 +131,16 @@
                                cancel_scope& scope)
 {
     if (call.service != m_service)
-        return refuse("not_the_owner_of_this_service");
+        return refuse(call, "not_the_owner_of_this_service");
     if (m_targets.in_use() == nullptr)
-        return refuse("no_target_takes_work");
+        return refuse(call, "no_target_takes_work");
     if (!m_up)
-        return refuse("target_down");
+        return refuse(call, "target_down");
     if (m_board.phase == node_phase::ending)
-        return refuse("node_ending");
+        return refuse(call, "node_ending");
     if (m_shedder.sheds(m_random.unit(), steady_clock::now()))
     {
-        auto shed = refuse("runs_fail_further_down");
+        auto shed = refuse(call, "runs_fail_further_down");
         shed.elsewhere_alike = true;
         return shed;
     }
@@ -144,18 +155,18 @@
     {
         if (verdict == admission_verdict::run)
             m_places.release(m_places.mean_run());
-        auto left = refuse("client_left");
+        auto left = refuse(call, "client_left");
         left.end = call_end::cancelled;
         return left;
     }
     if (verdict != admission_verdict::run)
-        return refuse(std::string(name_of(verdict)));
+        return refuse(call, std::string(name_of(verdict)));
     // The target may have left while the call waited.
     const auto* target = m_targets.in_use();
     if (target == nullptr)
     {
         m_places.release(m_places.mean_run());
-        return refuse("no_target_takes_work");
+        return refuse(call, "no_target_takes_work");
     }
     const auto begin = steady_clock::now();
     const run_register::run running(m_runs, call.request_id, call.work());
@@ -169,7 +180,7 @@
     if (answer.end == call_end::answered)
         m_shedder.ran(answer.response->result_int() == run_failed,
                       steady_clock::now());
-    answer.told = word();
+    answer.told = word_on(call.work());
     return answer;
 }
 
@@ -205,12 +216,12 @@
         m_up = false;
         if (m_lost)
             m_lost();
-        return refuse("target_not_reached");
+        return refuse(call, "target_not_reached");
     }
     // Waiting for the connection may have used the rest of the time.
     if (scope.is_cancelled() || steady_clock::now() >= call.deadline ||
         m_targets.has_left(target.id))
-        return refuse("too_late_to_send");
+        return refuse(call, "too_late_to_send");
     auto sent = onward(request, call, target);
     auto result =
         exchange(**stream, sent,
@@ -275,7 +286,7 @@
     auto call = take_hop_fields(request, m_names.request_id);
     if (!call)
     {
-        owner_answer refused = refuse("malformed_hop_fields");
+        owner_answer refused = refuse({}, "malformed_hop_fields");
         return to_hop_response(std::move(refused), {}, m_names.request_id);
     }
     return to_hop_response(run(request.message, *call, scope), *call,
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -133,7 +133,6 @@
     seen.recent_refusals = of.refusals * fading;
     seen.owner_load = of.load * fading;
     seen.latency_ms = of.latency_ms * fading;
-    seen.run_ms = of.run_ms;
     seen.slots = of.slots;
     seen.warmth = std::min(1.0, seconds(now - of.first_seen) / warm_up_s);
     return seen;
@@ -209,6 +208,9 @@
     {
         const auto& known = record_of(each->rpc, now);
         standings.push_back(standing(known, now));
+        if (const auto run = known.run_ms.find(from.work);
+            run != known.run_ms.end())
+            standings.back().run_ms = run->second;
         standings.back().distance_ms =
             distance_ms(from, each->place) +
             link_weight * link_ms(from, *each, known, now);
@@ -259,35 +261,34 @@
 }
 
 void target_board::ended(const address& owner,
-                         call_verdict verdict,
-                         duration took,
-                         const owner_word& told,
+                         const ended_call& call,
                          time_point now)
 {
     const std::lock_guard lock(m_mutex);
     auto& of = record_of(owner, now);
     if (of.in_flight > 0)
         --of.in_flight;
-    if (verdict == call_verdict::unknown)
+    if (call.verdict == call_verdict::unknown)
         return;
-    const double failed = verdict == call_verdict::failed ? 1 : 0;
+    const double failed = call.verdict == call_verdict::failed ? 1 : 0;
     of.failures += (failed - of.failures) * newest_share;
-    const double refused = verdict == call_verdict::refused ? 1 : 0;
+    const double refused = call.verdict == call_verdict::refused ? 1 : 0;
     of.refusals += (refused - of.refusals) * refusal_share;
-    if (verdict == call_verdict::failed)
+    if (call.verdict == call_verdict::failed)
         of.failures = std::max(of.failures, aside_share);
-    if (verdict == call_verdict::good)
-        of.latency_ms += (seconds(took) * 1000 - of.latency_ms) * newest_share;
-    take_word(of, told);
-    if (!told.load && verdict == call_verdict::refused)
+    if (call.verdict == call_verdict::good)
+        of.latency_ms +=
+            (seconds(call.took) * 1000 - of.latency_ms) * newest_share;
+    take_word(of, call.told);
+    if (call.told.run_ms > 0)
+        of.run_ms[call.work] = call.told.run_ms;
+    if (!call.told.load && call.verdict == call_verdict::refused)
         of.load = std::max(of.load, 1.0);
     of.last_end = now;
 }
 
 void target_board::take_word(record& of, const owner_word& word)
 {
-    if (word.run_ms > 0)
-        of.run_ms = word.run_ms;
     if (word.slots > 0)
         of.slots = word.slots;
     if (word.load)
--- a/tests/integration/owner_choice.cpp
+++ b/tests/integration/owner_choice.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr std::size_t large = 60'000;
-constexpr duration objective = std::chrono::seconds(1);
+constexpr work_class work{0, std::chrono::seconds(1), call_kind::large_once};
 const member_place near_place{"r", "near"};
 const member_place far_place{"r", "far"};
 
@@ -77,8 +77,7 @@
     with_worker(
         [](worker&, fixture& made)
         {
-            const auto chosen =
-                made.choice.choose(made.owners, {}, 500, objective);
+            const auto chosen = made.choice.choose(made.owners, {}, 500, work);
             CHECK(chosen.owner != nullptr);
             CHECK(made.asked == 0);
         });
@@ -92,7 +91,7 @@
             for (int i = 0; i < 20; ++i)
             {
                 const auto chosen =
-                    made.choice.choose(made.owners, {}, large, objective);
+                    made.choice.choose(made.owners, {}, large, work);
                 REQUIRE(chosen.owner);
                 CHECK(chosen.owner->place == near_place);
             }
@@ -112,7 +111,7 @@
                 return word;
             };
             const auto chosen =
-                made.choice.choose(made.owners, {}, large, objective);
+                made.choice.choose(made.owners, {}, large, work);
             REQUIRE(chosen.owner);
             CHECK(chosen.owner->rpc.port == 4);
         });
@@ -133,7 +132,7 @@
                 return std::nullopt;
             };
             const auto chosen =
-                made.choice.choose(made.owners, {}, large, objective);
+                made.choice.choose(made.owners, {}, large, work);
             REQUIRE(chosen.owner);
             CHECK(chosen.owner->rpc.port == 3);
             while (late < 2) // they still use what the test owns
@@ -154,12 +153,12 @@
                 return word;
             };
             const auto chosen =
-                made.choice.choose(made.owners, {}, large, objective);
+                made.choice.choose(made.owners, {}, large, work);
             CHECK(chosen.owner == nullptr);
             CHECK(chosen.links_full >= milliseconds(800));
             made.answer = [](const address&) { return std::nullopt; };
-            CHECK(made.choice.choose(made.owners, {}, large, objective)
-                      .links_full > duration::zero());
+            CHECK(made.choice.choose(made.owners, {}, large, work).links_full >
+                  duration::zero());
         });
 }
 
@@ -171,7 +170,7 @@
             const std::vector<address> tried{made.owners[0]->rpc,
                                              made.owners[2]->rpc};
             const auto chosen =
-                made.choice.choose(made.owners, tried, large, objective);
+                made.choice.choose(made.owners, tried, large, work);
             REQUIRE(chosen.owner);
             CHECK(chosen.owner->rpc == made.owners[1]->rpc);
         });
--- a/tests/unit/routing.cpp
+++ b/tests/unit/routing.cpp
@@ -105,8 +105,12 @@
         {
             const address node{"127.0.0.1", port};
             board.started(node);
-            board.ended(node, call_verdict::good,
-                        milliseconds(node == slow ? 100 : 2), {}, now);
+            board.ended(node,
+                        {call_verdict::good,
+                         milliseconds(node == slow ? 100 : 2),
+                         {},
+                         {}},
+                        now);
         }
     int to_slow = 0;
     for (int i = 0; i < 1000; ++i)
@@ -115,8 +119,8 @@
     // If all look bad, all are used.
     for (std::uint16_t port = 1; port <= 5; port += 2)
         for (int i = 0; i < 50; ++i)
-            board.ended({"127.0.0.1", port}, call_verdict::failed,
-                        milliseconds(1), {}, now);
+            board.ended({"127.0.0.1", port},
+                        {call_verdict::failed, milliseconds(1), {}, {}}, now);
     CHECK(board.choose(routes, "s", {}, now));
 }
 
@@ -127,8 +131,8 @@
     const auto now = steady_clock::now();
     const auto fill = [&](std::uint16_t port, double load)
     {
-        board.ended({"127.0.0.1", port}, call_verdict::refused, milliseconds(1),
-                    {load}, now);
+        board.ended({"127.0.0.1", port},
+                    {call_verdict::refused, milliseconds(1), {load}, {}}, now);
     };
     CHECK(board.has_room(routes, "s", {}, now));
     for (std::uint16_t port = 1; port <= 6; ++port)
@@ -140,6 +144,42 @@
     CHECK_FALSE(board.has_room(routes, "other", {}, now));
 }
 
+TEST_CASE("a target is compared by its runs of the same class of work")
+{
+    target_board board(**find_policy("least_time"), 5);
+    const work_class lookup{1, milliseconds(60), call_kind::repeatable};
+    const work_class booking{1, milliseconds(250), call_kind::once};
+    const auto now = steady_clock::now();
+    const auto node = [](std::uint16_t port)
+    {
+        member made;
+        made.rpc = {"127.0.0.1", port};
+        return std::make_shared<const member>(made);
+    };
+    const std::vector<member_ptr> owners{node(1), node(2)};
+    const auto ran = [&](std::uint16_t port, const work_class& work, double ms)
+    {
+        const address owner{"127.0.0.1", port};
+        owner_word told;
+        told.load = 0.5;
+        told.slots = 13;
+        told.run_ms = ms;
+        board.started(owner);
+        board.ended(owner, {call_verdict::good, milliseconds(20), told, work},
+                    now);
+    };
+    // The first gets the lookups, yet its bookings take longer.
+    for (int i = 0; i < 20; ++i)
+        ran(1, lookup, 16);
+    ran(1, booking, 150);
+    ran(2, booking, 90);
+    for (int i = 0; i < 20; ++i)
+    {
+        const call_origin from{nullptr, nullptr, 0, booking};
+        CHECK(board.choose_among(owners, {}, from, now)->rpc.port == 2);
+    }
+}
+
 TEST_CASE("ambiguous framing is found")
 {
     request_head head;
