What can no longer be in time goes behind what can

Change: entries take the longest time left of a class of calls for what its clients give; what a call has less has passed since its first try and is told to the owner. What its owner expects to end after the objective waits behind all else of its rank.

--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -8,6 +8,7 @@
 #include "tillerhall/routing/objectives_in_use.hpp"
 #include "tillerhall/routing/share_sequence.hpp"
 #include "tillerhall/routing/target_board.hpp"
+#include "tillerhall/routing/usual_budgets.hpp"
 
 #include <functional>
 #include <map>
@@ -67,8 +68,11 @@
         bool may_have_run = false;  ///< in a try whose answer is not known
     };
 
-    /** Finds out whether the call was made by a run of the target here. */
-    void note_maker(owner_call& call);
+    /**
+     * Finds out whether the call was made by a run of the target here, and if
+     * not, whether its client comes back. @param left as told by the caller
+     */
+    void note_maker(owner_call& call, const std::optional<milliseconds>& left);
     owner_answer
     lead(received_request& request, call_state& state, cancel_scope& scope);
     owner_answer try_one(received_request& request,
@@ -106,6 +110,7 @@
     stream_pool m_pool;
     share_sequence m_shares;
     objectives_in_use m_objectives;
+    usual_budgets m_budgets;
     std::map<std::string, service_record> m_services;
 };
 
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -36,6 +36,7 @@
     std::uint32_t rank = 0;
     time_point deadline{};
     duration objective{}; ///< within which an answer is worth most
+    duration elapsed{};   ///< since its client's first try, if that was before
     bool nested = false;  ///< made by a target in the course of a run
 
     work_class work() const
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -73,6 +73,8 @@
 
 private:
     owner_answer refuse(const owner_call& call, std::string reason) const;
+    /** @return by when an answer is worth most, for the order of waiting. */
+    time_point due(const owner_call& call) const;
     owner_answer send(const whole_request& request,
                       const owner_call& call,
                       const target_report& target,
--- a/include/tillerhall/proxy/wire_names.hpp
+++ b/include/tillerhall/proxy/wire_names.hpp
@@ -37,6 +37,7 @@
 inline constexpr const char* time_left_ms = "Tillerhall-Left-Ms";
 inline constexpr const char* objective_ms = "Tillerhall-Objective-Ms";
 inline constexpr const char* nested = "Tillerhall-Nested"; ///< if made by a run
+inline constexpr const char* elapsed_ms = "Tillerhall-Elapsed-Ms"; ///< if any
 // In an owner's answer:
 inline constexpr const char* end = "Tillerhall-End";         ///< a `call_end`
 inline constexpr const char* reached = "Tillerhall-Reached"; ///< the target
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -32,6 +32,8 @@
 // One owner may be wrong about the others; asked on and on, shedding owners
 // would let most calls through in the end.
 constexpr unsigned most_alike = 2;
+// Less than this part of its objective passes before a first try is read.
+constexpr int noticed_part = 8;
 constexpr std::int64_t longest_time_left_ms = 3'600'000;
 constexpr milliseconds retry_elsewhere(200);
 constexpr milliseconds retry_without_target(100);
@@ -187,7 +189,7 @@
     state.call.objective = route.objective > milliseconds::zero()
                                ? route.objective
                                : route.timeout;
-    note_maker(state.call);
+    note_maker(state.call, left);
     remove_hop_fields(message);
     ++m_board.calls_in_flight;
     auto answer = lead(request, state, scope);
@@ -196,7 +198,8 @@
     return to_client(state, std::move(answer));
 }
 
-void call_entry::note_maker(owner_call& call)
+void call_entry::note_maker(owner_call& call,
+                            const std::optional<milliseconds>& left)
 {
     const auto objective =
         std::chrono::duration_cast<milliseconds>(call.objective);
@@ -205,6 +208,12 @@
     // Where ids tell nothing, targets' calls are told by their objective.
     call.nested = runs.maker_of(call.request_id).has_value() ||
                   (!runs.ids_tell() && m_objectives.is_short(objective));
+    if (call.nested || !left)
+        return;
+    const auto elapsed =
+        m_budgets.elapsed(call.work(), *left, steady_clock::now());
+    if (elapsed > call.objective / noticed_part)
+        call.elapsed = elapsed;
 }
 
 owner_answer call_entry::lead(received_request& request,
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -18,7 +18,7 @@
 constexpr std::array call_fields{
     hop_field::service, hop_field::kind,         hop_field::rank,
     hop_field::origin,  hop_field::time_left_ms, hop_field::objective_ms,
-    hop_field::nested};
+    hop_field::nested,  hop_field::elapsed_ms};
 constexpr std::array answer_fields{hop_field::end,
                                    hop_field::reached,
                                    hop_field::load,
@@ -93,6 +93,8 @@
     request.set(hop_field::time_left_ms, std::to_string(std::max<std::int64_t>(
                                              0, to_ms(call.deadline - now))));
     request.set(hop_field::objective_ms, std::to_string(to_ms(call.objective)));
+    if (call.elapsed > duration::zero())
+        request.set(hop_field::elapsed_ms, std::to_string(to_ms(call.elapsed)));
     if (call.nested)
         request.set(hop_field::nested, "1");
 }
@@ -118,6 +120,8 @@
     call.rank = *rank;
     call.deadline = request.received + milliseconds(*left);
     call.objective = milliseconds(*objective);
+    call.elapsed = milliseconds(
+        number_in<std::int64_t>(message[hop_field::elapsed_ms]).value_or(0));
     call.nested = message.count(hop_field::nested) != 0;
     for (const auto* name : call_fields)
         message.erase(name);
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -32,6 +32,10 @@
 // elsewhere, so it may wait longer. A third is 40 of 120 ms: with 30 ms runs
 // failed for nothing, with 200 ms the calls of clients were refused first.
 constexpr int nested_wait_part = 3;
+// In an overload those who came back took the places of those who came first,
+// who came back in their turn: half of what was served came late. So what can
+// no longer be in time goes behind all that can. Longer than any objective.
+constexpr std::chrono::minutes behind_all_in_time(10);
 // Statuses by which a client is promised that its call did not run.
 constexpr std::array promising_statuses{408U, 421U, 429U, 503U};
 
@@ -126,6 +130,15 @@
     return refused;
 }
 
+time_point target_owner::due(const owner_call& call) const
+{
+    const auto now = steady_clock::now();
+    const auto due = now + call.objective - call.elapsed;
+    const auto run = m_runs_of.of(call.work(), m_places.mean_run());
+    const bool can_be_in_time = call.nested || now + run < due;
+    return can_be_in_time ? due : now + call.objective + behind_all_in_time;
+}
+
 owner_answer target_owner::run(const whole_request& request,
                                const owner_call& call,
                                cancel_scope& scope)
@@ -147,7 +160,7 @@
     const auto verdict = m_places.acquire(
         m_worker.io(), {.deadline = call.deadline,
                         .rank = call.rank,
-                        .due = steady_clock::now() + call.objective,
+                        .due = due(call),
                         .most_wait = most_wait(call),
                         .run = m_runs_of.of(call.work(), duration::zero()),
                         .scope = &scope});
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -6,6 +6,7 @@
 #include "tillerhall/routing/admission.hpp"
 #include "tillerhall/routing/retry_budget.hpp"
 #include "tillerhall/routing/run_estimates.hpp"
+#include "tillerhall/routing/usual_budgets.hpp"
 
 #include <list>
 
@@ -334,3 +335,24 @@
     CHECK(to_ms(runs.of(lookup, {})) <= 16);
     CHECK(to_ms(runs.of(booking, {}) + milliseconds(1)) >= 82);
 }
+
+TEST_CASE("a call that comes back is told by what is left of its time")
+{
+    usual_budgets budgets;
+    const work_class reads{2, milliseconds(200), call_kind::repeatable};
+    const work_class others{1, milliseconds(200), call_kind::once};
+    auto now = steady_clock::now();
+    const auto elapsed = [&](const work_class& work, int left)
+    { return to_ms(budgets.elapsed(work, milliseconds(left), now)); };
+    CHECK(elapsed(reads, 700) == 0); // nothing else is known yet
+    CHECK(elapsed(reads, 1'200) == 0);
+    CHECK(elapsed(reads, 700) == 500);
+    CHECK(elapsed(others, 700) == 0);
+    // A shorter budget is noticed once the longer one has not come for long.
+    for (int i = 0; i < 50; ++i)
+    {
+        now += std::chrono::seconds(1);
+        elapsed(reads, 800);
+    }
+    CHECK(elapsed(reads, 700) == 100);
+}
--- a/tests/unit/owner_answer.cpp
+++ b/tests/unit/owner_answer.cpp
@@ -23,6 +23,7 @@
     call.deadline = now + milliseconds(700);
     call.objective = milliseconds(120);
     call.nested = true;
+    call.elapsed = milliseconds(450);
     return call;
 }
 
@@ -45,6 +46,7 @@
     CHECK(read->rank == 3);
     CHECK(read->objective == milliseconds(120));
     CHECK(read->nested);
+    CHECK(read->elapsed == milliseconds(450));
     CHECK(to_ms(read->deadline - now) == 700);
     CHECK(request.message["X-Own"] == "kept");
     CHECK(request.message.count(hop_field::service) == 0);
