Answers count in the distance by the mean of their class

The choice knew a request's bytes and took 1 KB for any answer; those of downloads are 90 KB at the median. Change: the board keeps a decaying mean of the answers' bodies by class of work and adds it to what goes over the way.

--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -52,6 +52,7 @@
     duration took{};
     owner_word told; ///< by the owner, with its answer
     work_class work;
+    std::size_t answer_bytes = 0; ///< of its body; 0 unless answered
 };
 
 /** A target that was chosen for a call. */
@@ -174,6 +175,8 @@
     std::mutex m_mutex;
     random_source m_random;
     std::map<address, record> m_records;
+    /** Decaying mean size of the answers to each class of work, in bytes. */
+    std::map<work_class, double> m_answer_bytes;
     std::map<std::string, retry_budget> m_budgets;
     std::uint64_t m_turn = 0;
 };
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -298,9 +298,11 @@
                       ? m_local.run(request.message, state.call, scope)
                       : send_to_peer(request, state, owner, scope);
     const auto now = steady_clock::now();
-    m_targets.ended(
-        owner.rpc,
-        {verdict_of(answer), now - begin, answer.told, state.call.work()}, now);
+    m_targets.ended(owner.rpc,
+                    {verdict_of(answer), now - begin, answer.told,
+                     state.call.work(),
+                     answer.response ? answer.response->body().size() : 0},
+                    now);
     if (answer.reached)
         ++state.targets_reached;
     if (answer.elsewhere_alike)
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -31,8 +31,11 @@
 // about what an answer later by 10 ms does: 14,000 a GB against answers of
 // worth 1 of which some 0.1% more are late for each millisecond.
 constexpr double ms_per_kb = 10;
-// Heads both ways and a typical answer.
-constexpr double fixed_kb = 2;
+// Heads both ways. Bodies are counted apart: what is sent is known, of an
+// answer the mean of its class of work. Of a class that nothing is known of yet
+// an answer of the same size is taken.
+constexpr double heads_kb = 1;
+constexpr double unknown_answer_bytes = 1024;
 
 // What an owner told of its link holds for about the time of one body.
 constexpr milliseconds word_of_link_holds(100);
@@ -43,12 +46,14 @@
 
 constexpr double kb = 1024;
 
-double distance_ms(const call_origin& from, const member_place& to)
+double distance_ms(const call_origin& from,
+                   double answer_bytes,
+                   const member_place& to)
 {
     if (from.place == nullptr || from.place->domain == to.domain)
         return 0;
-    const double bytes_ms =
-        ms_per_kb * (fixed_kb + static_cast<double>(from.bytes) / kb);
+    const double body_bytes = static_cast<double>(from.bytes) + answer_bytes;
+    const double bytes_ms = ms_per_kb * (heads_kb + body_bytes / kb);
     return bytes_ms + (from.place->region == to.region ? domain_distance_ms
                                                        : region_distance_ms);
 }
@@ -203,6 +208,9 @@
                               const call_origin& from,
                               time_point now)
 {
+    const auto answer = m_answer_bytes.find(from.work);
+    const double answer_bytes =
+        answer == m_answer_bytes.end() ? unknown_answer_bytes : answer->second;
     std::vector<target_standing> standings;
     for (const auto& each : left)
     {
@@ -212,7 +220,7 @@
             run != known.run_ms.end())
             standings.back().run_ms = run->second;
         standings.back().distance_ms =
-            distance_ms(from, each->place) +
+            distance_ms(from, answer_bytes, each->place) +
             link_weight * link_ms(from, *each, known, now);
     }
     std::vector<std::size_t> usable;
@@ -276,6 +284,12 @@
     of.refusals += (refused - of.refusals) * refusal_share;
     if (call.verdict == call_verdict::failed)
         of.failures = std::max(of.failures, aside_share);
+    if (call.answer_bytes > 0)
+    {
+        const auto size = static_cast<double>(call.answer_bytes);
+        auto& mean = m_answer_bytes.try_emplace(call.work, size).first->second;
+        mean += (size - mean) * newest_share;
+    }
     if (call.verdict == call_verdict::good)
         of.latency_ms +=
             (seconds(call.took) * 1000 - of.latency_ms) * newest_share;
--- a/tests/unit/routing.cpp
+++ b/tests/unit/routing.cpp
@@ -180,6 +180,55 @@
     }
 }
 
+TEST_CASE("large answers cross domains only where it pays")
+{
+    target_board board(**find_policy("least_time"), 5);
+    const work_class packs{2, milliseconds(250), call_kind::large_repeatable};
+    const work_class reads{2, milliseconds(200), call_kind::repeatable};
+    const auto now = steady_clock::now();
+    const member_place here{"r", "here"};
+    const auto node = [](std::uint16_t port, const member_place& at)
+    {
+        member made;
+        made.rpc = {"127.0.0.1", port};
+        made.place = at;
+        return std::make_shared<const member>(made);
+    };
+    const std::vector<member_ptr> owners{node(1, here), node(2, {"r", "far"})};
+    const auto ran = [&](std::uint16_t port, const work_class& work, double ms,
+                         std::size_t answer_bytes)
+    {
+        const address owner{"127.0.0.1", port};
+        owner_word told;
+        told.load = 0.1;
+        told.slots = 13;
+        told.run_ms = ms;
+        board.started(owner);
+        board.ended(
+            owner,
+            {call_verdict::good, milliseconds(20), told, work, answer_bytes},
+            now);
+    };
+    // The near one takes longer; a small answer is worth the way, a large
+    // one is not.
+    for (const auto& [work, bytes] : {std::pair{packs, std::size_t{90'000}},
+                                      std::pair{reads, std::size_t{1'500}}})
+    {
+        ran(1, work, 200, bytes);
+        ran(2, work, 60, bytes);
+    }
+    const auto chosen = [&](const work_class& work)
+    {
+        return board.choose_among(owners, {}, {&here, nullptr, 0, work}, now)
+            ->rpc.port;
+    };
+    for (int i = 0; i < 20; ++i)
+    {
+        CHECK(chosen(packs) == 1);
+        CHECK(chosen(reads) == 2);
+    }
+}
+
 TEST_CASE("ambiguous framing is found")
 {
     request_head head;
