A leaving node is asked where no other takes a call

Change: members whose node leaves and whose target serves are kept apart and asked when no other owner is left to ask.

--- a/include/tillerhall/membership/member.hpp
+++ b/include/tillerhall/membership/member.hpp
@@ -77,6 +77,12 @@
 /** @return whether calls may be sent to this member's target. */
 bool takes_calls(const member& checked) noexcept;
 
+/**
+ * @return whether this member is in a planned stop and its target still
+ * serves: calls may be sent to it where no other takes them.
+ */
+bool serves_while_leaving(const member& checked) noexcept;
+
 /** @return whether the member runs, as far as known (alive or leaving). */
 bool is_live(const member& checked) noexcept;
 
--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -75,6 +75,10 @@
     void note_maker(owner_call& call, const std::optional<milliseconds>& left);
     owner_answer
     lead(received_request& request, call_state& state, cancel_scope& scope);
+    /** @return whom to ask next; those in a planned stop last. */
+    chosen_owner choose_owner(const received_request& request,
+                              const call_state& state,
+                              const service_targets& view);
     owner_answer try_one(received_request& request,
                          call_state& state,
                          const member& owner,
--- a/include/tillerhall/routing/service_targets.hpp
+++ b/include/tillerhall/routing/service_targets.hpp
@@ -22,11 +22,23 @@
     /** @return the members that serve @p service; empty if none is known. */
     const std::vector<member_ptr>& of(const std::string& service) const;
 
+    /**
+     * @return the members in a planned stop whose targets still serve
+     * @p service: for when no other has room.
+     */
+    const std::vector<member_ptr>& leaving(const std::string& service) const;
+
     /** @return how many members run, this node included. */
     std::size_t live_members() const noexcept { return m_live; }
 
 private:
-    std::map<std::string, std::vector<member_ptr>> m_by_service;
+    using by_service = std::map<std::string, std::vector<member_ptr>>;
+
+    static const std::vector<member_ptr>& find(const by_service& in,
+                                               const std::string& service);
+
+    by_service m_by_service;
+    by_service m_leaving;
     std::size_t m_live = 1;
 };
 
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -103,6 +103,12 @@
            checked.target_is == target_state::serving;
 }
 
+bool serves_while_leaving(const member& checked) noexcept
+{
+    return checked.state == member_state::leaving &&
+           checked.target_is == target_state::serving;
+}
+
 bool is_live(const member& checked) noexcept
 {
     return checked.state == member_state::alive ||
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -231,9 +231,7 @@
     while (true)
     {
         const auto view = m_board.targets.get();
-        const auto chosen =
-            m_choice.choose(view->of(service), state.tried,
-                            request.message.body().size(), state.call.work());
+        const auto chosen = choose_owner(request, state, *view);
         const auto& owner = chosen.owner;
         if (chosen.links_full > duration::zero())
         {
@@ -252,6 +250,24 @@
     }
 }
 
+chosen_owner call_entry::choose_owner(const received_request& request,
+                                      const call_state& state,
+                                      const service_targets& view)
+{
+    const auto among = [&](const std::vector<member_ptr>& owners)
+    {
+        return m_choice.choose(owners, state.tried,
+                               request.message.body().size(),
+                               state.call.work());
+    };
+    auto chosen = among(view.of(state.call.service));
+    // While the last target's node was in a planned stop, all calls of its
+    // service were refused for 3.8 s though the target served all the while.
+    if (!chosen.owner && chosen.links_full == duration::zero())
+        chosen = among(view.leaving(state.call.service));
+    return chosen;
+}
+
 bool call_entry::take_budget(const std::string& service,
                              const owner_answer& last)
 {
--- a/tests/unit/membership.cpp
+++ b/tests/unit/membership.cpp
@@ -3,6 +3,7 @@
 #include "tillerhall/membership/heartbeat_schedule.hpp"
 #include "tillerhall/membership/rumor_queue.hpp"
 #include "tillerhall/membership/suspicion.hpp"
+#include "tillerhall/routing/service_targets.hpp"
 
 #include <boost/json.hpp>
 #include <set>
@@ -263,3 +264,28 @@
     REQUIRE(old);
     CHECK(old->target_id.empty());
 }
+
+TEST_CASE("a target whose node is in a planned stop is kept as a last resort")
+{
+    const auto node =
+        [](std::uint8_t number, member_state state, target_state target)
+    {
+        auto made = make_member(number);
+        made.service = "s";
+        made.state = state;
+        made.target_is = target;
+        return made;
+    };
+    member_list members(make_member(100));
+    members.merge(node(1, member_state::alive, target_state::serving));
+    members.merge(node(2, member_state::leaving, target_state::serving));
+    // A target that leaves itself gets no work, whatever its node does.
+    members.merge(node(3, member_state::leaving, target_state::draining));
+    members.merge(node(4, member_state::alive, target_state::draining));
+    const service_targets view(members);
+    REQUIRE(view.of("s").size() == 1);
+    CHECK(view.of("s").front()->rpc == make_member(1).rpc);
+    REQUIRE(view.leaving("s").size() == 1);
+    CHECK(view.leaving("s").front()->rpc == make_member(2).rpc);
+    CHECK(view.leaving("other").empty());
+}
