Unit test of leaving nodes names a service that no other member has

The list's own member has the service that the test used, so the view held two. The test now asks for a service of its own; what it checks is the same.

--- a/tests/unit/membership.cpp
+++ b/tests/unit/membership.cpp
@@ -271,7 +271,7 @@
         [](std::uint8_t number, member_state state, target_state target)
     {
         auto made = make_member(number);
-        made.service = "s";
+        made.service = "rare";
         made.state = state;
         made.target_is = target;
         return made;
@@ -283,9 +283,9 @@
     members.merge(node(3, member_state::leaving, target_state::draining));
     members.merge(node(4, member_state::alive, target_state::draining));
     const service_targets view(members);
-    REQUIRE(view.of("s").size() == 1);
-    CHECK(view.of("s").front()->rpc == make_member(1).rpc);
-    REQUIRE(view.leaving("s").size() == 1);
-    CHECK(view.leaving("s").front()->rpc == make_member(2).rpc);
-    CHECK(view.leaving("other").empty());
+    REQUIRE(view.of("rare").size() == 1);
+    CHECK(view.of("rare").front()->rpc == make_member(1).rpc);
+    REQUIRE(view.leaving("rare").size() == 1);
+    CHECK(view.leaving("rare").front()->rpc == make_member(2).rpc);
+    CHECK(view.leaving("s").empty());
 }
