Integration test: the last target of a service while its node is stopped

Two nodes of one service are stopped one after the other; calls from another host are served while the second still serves.

--- a/tests/integration/mesh_node.cpp
+++ b/tests/integration/mesh_node.cpp
@@ -252,6 +252,30 @@
         });
 }
 
+TEST_CASE("the last target of a service is used while its node is stopped")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            auto& first = system.hosts()[0];
+            auto& last = system.hosts()[2];
+            auto& other = system.hosts()[1];
+            first.node.send(SIGTERM);
+            REQUIRE(
+                system.wait_until([&] { return !first.node.is_running(); }));
+            last.node.send(SIGTERM);
+            REQUIRE(system.wait_until([&] { return !system.is_ready(last); }));
+            // Its node serves for a while yet, so calls must get there.
+            for (int i = 0; i < 10; ++i)
+            {
+                const auto id = "late-" + std::to_string(i);
+                CHECK(system.call(other, id, "/fields/x").status == 200);
+                sleep_for(on.io(), milliseconds(50));
+            }
+        });
+}
+
 TEST_CASE("what may run once runs once, whatever its target does")
 {
     on_worker(
