What an entry says to clients stands in client_answers; one window of recent counts

No decision changes. call_entry was 430 lines with two jobs: leading calls, and making the responses that are not a target's own; the latter is now client_answers. The terms of a call are set in a step of their own. failure_shedder counts with recent_window, as usual_budgets does, in place of a second copy of it.

--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tillerhall/node/blackboard.hpp"
+#include "tillerhall/proxy/client_answers.hpp"
 #include "tillerhall/proxy/owner_choice.hpp"
 #include "tillerhall/proxy/target_owner.hpp"
 #include "tillerhall/routing/fleet_budget.hpp"
@@ -68,6 +69,11 @@
         bool may_have_run = false;  ///< in a try whose answer is not known
     };
 
+    /** Sets what the route and the client say about the call. */
+    void set_terms(owner_call& call,
+                   const call_route& route,
+                   time_point received,
+                   const std::optional<milliseconds>& left);
     /**
      * Finds out whether the call was made by a run of the target here, and if
      * not, whether its client comes back. @param left as told by the caller
@@ -95,20 +101,13 @@
     void note_end(const call_state& state,
                   const owner_answer& answer,
                   time_point start);
-    whole_response to_client(const call_state& state,
-                             owner_answer answer) const;
-    whole_response problem(unsigned status,
-                           const std::string& title,
-                           const std::string& detail,
-                           const std::string& id) const;
-    whole_response not_found(const std::string& id) const;
-    whole_response not_taken(const std::string& id, const char* why) const;
 
     const entry_settings& m_config;
     const wire_names& m_names;
     blackboard& m_board;
     target_board& m_targets;
     target_owner& m_local;
+    client_answers m_answers;
     owner_choice m_choice;
     unreachable m_report;
     stream_pool m_pool;
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -46,6 +46,17 @@
     }
 };
 
+/**
+ * @return whether @p status is of a server. A client that tries again after it
+ * does so on a new connection. Left open, the old one would stay idle: in an
+ * overload hundreds a node did.
+ */
+constexpr bool is_server_error(unsigned status) noexcept
+{
+    constexpr unsigned server_errors = 500;
+    return status >= server_errors;
+}
+
 /** What became of it. */
 struct owner_answer
 {
--- a/include/tillerhall/routing/failure_shedder.hpp
+++ b/include/tillerhall/routing/failure_shedder.hpp
@@ -1,7 +1,7 @@
 /** @file Sheds calls at a target whose runs fail for want of what they call. */
 #pragma once
 
-#include "tillerhall/core/time.hpp"
+#include "tillerhall/core/recent_window.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -33,39 +33,37 @@
     static constexpr double least_runs = 10;
 
     /** A run ended. */
-    void ran(bool failed, time_point now) noexcept
+    void ran(bool failed, time_point now)
     {
-        turn(now);
-        m_newest.runs += 1;
-        m_newest.failed += failed ? 1 : 0;
+        auto& counted = m_counts.newest(now);
+        counted.runs += 1;
+        counted.failed += failed ? 1 : 0;
     }
 
     /** A call of this host got no answer. */
-    void call_failed(bool for_want_of_room, time_point now) noexcept
+    void call_failed(bool for_want_of_room, time_point now)
     {
-        turn(now);
-        m_newest.calls_failed += 1;
-        m_newest.found_no_room += for_want_of_room ? 1 : 0;
+        auto& counted = m_counts.newest(now);
+        counted.calls_failed += 1;
+        counted.found_no_room += for_want_of_room ? 1 : 0;
     }
 
     /** @return the share of calls that is shed at @p now. */
-    double share(time_point now) noexcept
+    double share(time_point now)
     {
-        turn(now);
-        const double runs = m_newest.runs + m_before.runs;
-        const double failed = m_newest.failed + m_before.failed;
+        const auto& before = m_counts.before(now);
+        const auto& newest = m_counts.newest(now);
+        const double runs = newest.runs + before.runs;
+        const double failed = newest.failed + before.failed;
         const double failing = failed / std::max(least_runs, runs);
-        const double calls = m_newest.calls_failed + m_before.calls_failed;
-        const double no_room = m_newest.found_no_room + m_before.found_no_room;
+        const double calls = newest.calls_failed + before.calls_failed;
+        const double no_room = newest.found_no_room + before.found_no_room;
         const double by_load = no_room / std::max(1.0, calls);
         return std::clamp((failing - free_share) * by_load, 0.0, most_shed);
     }
 
     /** @param point random in [0, 1) @return whether a call is shed now. */
-    bool sheds(double point, time_point now) noexcept
-    {
-        return point < share(now);
-    }
+    bool sheds(double point, time_point now) { return point < share(now); }
 
 private:
     struct counts
@@ -76,18 +74,7 @@
         double found_no_room = 0;
     };
 
-    void turn(time_point now) noexcept
-    {
-        if (now < m_begin + span)
-            return;
-        m_before = now < m_begin + 2 * span ? m_newest : counts{};
-        m_newest = {};
-        m_begin = now;
-    }
-
-    counts m_newest;
-    counts m_before;
-    time_point m_begin{};
+    recent_window<counts> m_counts{span};
 };
 
 } // namespace tillerhall
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -5,9 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/beast/http.hpp>
-#include <boost/json.hpp>
 #include <charconv>
-#include <cstdio>
 #include <utility>
 
 namespace tillerhall
@@ -35,9 +33,7 @@
 // Less than this part of its objective passes before a first try is read.
 constexpr int noticed_part = 8;
 constexpr std::int64_t longest_time_left_ms = 3'600'000;
-constexpr milliseconds retry_elsewhere(200);
 constexpr milliseconds retry_without_target(100);
-constexpr milliseconds least_retry(20);
 // Weight of the newest run in the share that fails; some 20 count.
 constexpr double newest_share = 0.05;
 // One target of six that fails each second run stays below this.
@@ -54,14 +50,6 @@
     return milliseconds(std::min(left, longest_time_left_ms));
 }
 
-std::string seconds_text(duration span)
-{
-    std::array<char, 32> text{};
-    const std::chrono::duration<double> seconds = span;
-    std::snprintf(text.data(), text.size(), "%.3f", seconds.count());
-    return text.data();
-}
-
 /** @return a start in [0, 1) that differs from node to node. */
 double share_start(const address& own)
 {
@@ -70,16 +58,6 @@
            whole;
 }
 
-/**
- * @return whether a client that tries again does so on a new connection. Left
- * open, the old one would stay idle: in an overload hundreds a node did.
- */
-bool is_server_error(unsigned status)
-{
-    constexpr unsigned server_errors = 500;
-    return status >= server_errors;
-}
-
 /** @return whether the target answered with a failure of its own. */
 bool is_failure(const owner_answer& answer)
 {
@@ -113,6 +91,7 @@
     , m_board(board)
     , m_targets(targets)
     , m_local(local)
+    , m_answers(names)
     , m_choice(config, targets, local, on, std::move(ask))
     , m_report(std::move(report))
     , m_pool(on.io(), most_idle_per_peer, config.own.ip, peer_user_timeout)
@@ -120,43 +99,13 @@
 {
 }
 
-whole_response call_entry::problem(unsigned status,
-                                   const std::string& title,
-                                   const std::string& detail,
-                                   const std::string& id) const
-{
-    whole_response response(static_cast<http::status>(status), 11);
-    response.set(http::field::content_type, "application/problem+json");
-    if (!id.empty())
-        response.set(m_names.request_id, id);
-    response.body() = boost::json::serialize(boost::json::object{
-        {"title", title}, {"status", status}, {"detail", detail}});
-    response.prepare_payload();
-    response.keep_alive(!is_server_error(status));
-    return response;
-}
-
 whole_response call_entry::refuse(const request_fault& fault) const
 {
     m_board.metrics
         .get("tillerhall_bad_request_total",
              "status=\"" + std::to_string(fault.status) + "\"")
         .add();
-    return problem(fault.status, "the request was refused", fault.detail, "");
-}
-
-whole_response call_entry::not_taken(const std::string& id,
-                                     const char* why) const
-{
-    auto response = problem(503, "the call did not run", why, id);
-    response.set(http::field::retry_after, seconds_text(retry_elsewhere));
-    return response;
-}
-
-whole_response call_entry::not_found(const std::string& id) const
-{
-    return problem(404, "no route leads there",
-                   "no route of this version has that host and path", id);
+    return m_answers.refused(fault);
 }
 
 whole_response call_entry::answer(received_request& request,
@@ -170,32 +119,39 @@
         return refuse({400, "the field " + m_names.request_id + " is missing"});
     const auto routes = m_board.call_map.get();
     if (routes->version() == 0)
-        return not_taken(id, "this node has no routes yet");
+        return m_answers.not_taken(id, "this node has no routes yet");
     if (m_board.phase == node_phase::ending)
-        return not_taken(id, "this node ends");
+        return m_answers.not_taken(id, "this node ends");
     state.route = routes->find(message[http::field::host], message.target());
     if (state.route == nullptr)
-        return not_found(id);
+        return m_answers.not_found(id);
     const auto& route = *state.route;
     const auto left = time_left_of(message[m_names.time_left]);
-    state.call.service = m_shares.next(route);
-    state.call.origin = m_config.service;
-    state.call.kind = route.kind;
-    state.call.rank = route.rank;
-    state.call.deadline =
-        request.received +
-        std::min<duration>(route.timeout,
-                           left.value_or(milliseconds(longest_time_left_ms)));
-    state.call.objective = route.objective > milliseconds::zero()
-                               ? route.objective
-                               : route.timeout;
+    set_terms(state.call, route, request.received, left);
     note_maker(state.call, left);
     remove_hop_fields(message);
     ++m_board.calls_in_flight;
     auto answer = lead(request, state, scope);
     --m_board.calls_in_flight;
     note_end(state, answer, request.received);
-    return to_client(state, std::move(answer));
+    return m_answers.of(id, state.may_have_run, std::move(answer));
+}
+
+void call_entry::set_terms(owner_call& call,
+                           const call_route& route,
+                           time_point received,
+                           const std::optional<milliseconds>& left)
+{
+    call.service = m_shares.next(route);
+    call.origin = m_config.service;
+    call.kind = route.kind;
+    call.rank = route.rank;
+    call.deadline =
+        received +
+        std::min<duration>(route.timeout,
+                           left.value_or(milliseconds(longest_time_left_ms)));
+    call.objective = route.objective > milliseconds::zero() ? route.objective
+                                                            : route.timeout;
 }
 
 void call_entry::note_maker(owner_call& call,
@@ -412,32 +368,4 @@
                               {"routes", m_board.call_map.get()->version()}});
 }
 
-whole_response call_entry::to_client(const call_state& state,
-                                     owner_answer answer) const
-{
-    const auto& id = state.call.request_id;
-    if (answer.end == call_end::answered)
-    {
-        auto response = std::move(*answer.response);
-        remove_hop_fields(response);
-        frame_by_length(response);
-        response.keep_alive(!is_server_error(response.result_int()));
-        return response;
-    }
-    // A refusal after a try that may have run would promise too much.
-    const bool promised =
-        answer.end == call_end::not_run && !state.may_have_run;
-    if (promised)
-    {
-        auto response = problem(503, "the call did not run", answer.reason, id);
-        response.set(
-            http::field::retry_after,
-            seconds_text(std::max<duration>(answer.retry_after, least_retry)));
-        return response;
-    }
-    if (answer.end == call_end::timed_out)
-        return problem(504, "no answer in time", answer.reason, id);
-    return problem(502, "the answer was lost", answer.reason, id);
-}
-
 } // namespace tillerhall
