A call that outlasts a planned stop is answered, not cut

Cause: at the end of its grace a node ended with calls under way, whose clients saw a closed connection. Change: before it ends the node cancels the calls under way; their clients are told 502, the outcome is not known, and have 200 ms of the margin to take it. Test: red before (status 0, the connection was cut), green after. Ruled out: refusing as not run, which would not be true.

--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -11,6 +11,7 @@
 #include "tillerhall/routing/target_board.hpp"
 #include "tillerhall/routing/usual_budgets.hpp"
 
+#include <boost/intrusive/list.hpp>
 #include <functional>
 #include <map>
 
@@ -47,6 +48,12 @@
     /** Answers one call of a client. */
     whole_response answer(received_request& request, cancel_scope& scope);
 
+    /**
+     * Ends the calls under way, for a node that cannot wait any longer: their
+     * clients are told that the outcome is not known.
+     */
+    void end_calls();
+
     /** Answers a request that was not understood. */
     whole_response refuse(const request_fault& fault) const;
 
@@ -60,8 +67,11 @@
 
     /** One call and what became of it so far. */
     struct call_state
+        : boost::intrusive::list_base_hook<
+              boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
     {
         owner_call call;
+        cancel_scope* scope = nullptr;
         const call_route* route = nullptr;
         std::vector<address> tried;
         unsigned targets_reached = 0;
@@ -115,6 +125,10 @@
     objectives_in_use m_objectives;
     usual_budgets m_budgets;
     std::map<std::string, service_record> m_services;
+    boost::intrusive::list<call_state,
+                           boost::intrusive::constant_time_size<false>>
+        m_under_way;
+    bool m_ended = false;
 };
 
 } // namespace tillerhall
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds least_ending(200);
 // What is left of the grace for the last answers to get through.
 constexpr milliseconds stop_margin(600);
+// Of that margin, for clients to take the end of a call that was not answered.
+constexpr milliseconds last_answers(200);
 constexpr milliseconds drain_check(50);
 // Of a short grace this part at most is for serving what comes.
 constexpr int serve_part = 3;
@@ -288,6 +290,18 @@
         return board.calls_in_flight + owner->places().in_flight();
     }
 
+    /** A client whose call outlasts the grace gets an answer, not a cut. */
+    void end_last_calls()
+    {
+        if (board.calls_in_flight == 0)
+            return;
+        board.decisions.note("calls_ended", config.advertise_rpc.text(),
+                             "the grace is over",
+                             {{"in_flight", calls_here()}});
+        entry->end_calls();
+        sleep_for(on.io(), last_answers);
+    }
+
     void planned_stop()
     {
         board.phase = node_phase::leaving;
@@ -311,6 +325,7 @@
         while (steady_clock::now() < serve_until + least_ending ||
                (calls_here() > 0 && steady_clock::now() < last))
             sleep_for(on.io(), drain_check);
+        end_last_calls();
         board.decisions.note("stopped", config.advertise_rpc.text(),
                              calls_here() == 0 ? "all calls finished"
                                                : "the grace is over",
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -130,13 +130,24 @@
     set_terms(state.call, route, request.received, left);
     note_maker(state.call, left);
     remove_hop_fields(message);
+    state.scope = &scope;
+    m_under_way.push_back(state);
     ++m_board.calls_in_flight;
     auto answer = lead(request, state, scope);
     --m_board.calls_in_flight;
+    if (m_ended && answer.end == call_end::cancelled)
+        answer.reason = "this node ended before the answer came";
     note_end(state, answer, request.received);
     return m_answers.of(id, state.may_have_run, std::move(answer));
 }
 
+void call_entry::end_calls()
+{
+    m_ended = true;
+    for (auto& each : m_under_way)
+        each.scope->cancel();
+}
+
 void call_entry::set_terms(owner_call& call,
                            const call_route& route,
                            time_point received,
--- a/tests/integration/mesh_node.cpp
+++ b/tests/integration/mesh_node.cpp
@@ -276,6 +276,36 @@
         });
 }
 
+TEST_CASE("a call that outlasts a planned stop is answered, not cut")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            auto& host = system.hosts()[0];
+            auto routes = two_routes;
+            routes.front().timeout_ms = 9'000;
+            system.configure(2, routes);
+            sleep_for(on.io(), std::chrono::seconds(2));
+            for (auto& each : system.hosts())
+                each.target->tricks().work = std::chrono::seconds(7);
+            seen_answer answer;
+            run_parallel({[&] {
+                              answer = system.call(host, "long", "/fields/x",
+                                                   "", 9'000);
+                          },
+                          [&]
+                          {
+                              sleep_for(on.io(), milliseconds(300));
+                              host.node.send(SIGTERM);
+                          }});
+            CHECK(answer.status == 502); // whether it ran is not known
+            CHECK(answer.retry_after.empty());
+            REQUIRE(system.wait_until([&] { return !host.node.is_running(); }));
+            CHECK(host.node.wait() == 0);
+        });
+}
+
 TEST_CASE("what may run once runs once, whatever its target does")
 {
     on_worker(
