--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -88,7 +88,7 @@
      * Finds out whether the call was made by a run of the target here, and if
      * not, whether its client comes back. @param left as told by the caller
      */
-    void note_maker(owner_call& call, const std::optional<milliseconds>& left);
+    void classify(owner_call& call, const std::optional<milliseconds>& left);
     owner_answer
     lead(received_request& request, call_state& state, cancel_scope& scope);
     /** @return whom to ask next; those in a planned stop last. */
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -39,6 +39,7 @@
     duration elapsed{};   ///< since its client's first try, if that was before
     bool nested = false;  ///< made by a target in the course of a run
 
+    /** @return what runs, answers and budgets are compared by. */
     work_class work() const
     {
         return {rank, std::chrono::duration_cast<milliseconds>(objective),
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -94,7 +94,7 @@
     target_lost m_lost;
     byte_backlog m_incoming;
     run_register m_runs;
-    run_estimates m_runs_of;
+    run_estimates m_run_times;
     bool m_up = true;
     failure_shedder m_shedder;
     random_source m_random{entropy_seed()};
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -128,7 +128,7 @@
     const auto& route = *state.route;
     const auto left = time_left_of(message[m_names.time_left]);
     set_terms(state.call, route, request.received, left);
-    note_maker(state.call, left);
+    classify(state.call, left);
     remove_hop_fields(message);
     state.scope = &scope;
     m_under_way.push_back(state);
@@ -165,8 +165,8 @@
                                                             : route.timeout;
 }
 
-void call_entry::note_maker(owner_call& call,
-                            const std::optional<milliseconds>& left)
+void call_entry::classify(owner_call& call,
+                          const std::optional<milliseconds>& left)
 {
     const auto objective =
         std::chrono::duration_cast<milliseconds>(call.objective);
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -55,7 +55,7 @@
 }
 
 /** @return whether a whole run ended; a failed one may have ended early. */
-bool is_run(const owner_answer& answer)
+bool ran_well(const owner_answer& answer)
 {
     return answer.end == call_end::answered &&
            answer.response->result_int() < run_failed;
@@ -106,7 +106,7 @@
 {
     constexpr double ms_per_s = 1000;
     const std::chrono::duration<double> run =
-        m_runs_of.of(work, duration::zero());
+        m_run_times.of(work, duration::zero());
     auto told = word();
     told.run_ms = run.count() * ms_per_s;
     return told;
@@ -134,7 +134,7 @@
 {
     const auto now = steady_clock::now();
     const auto due = now + call.objective - call.elapsed;
-    const auto run = m_runs_of.of(call.work(), m_places.mean_run());
+    const auto run = m_run_times.of(call.work(), m_places.mean_run());
     const bool can_be_in_time = call.nested || now + run < due;
     return can_be_in_time ? due : now + call.objective + behind_all_in_time;
 }
@@ -162,7 +162,7 @@
                         .rank = call.rank,
                         .due = due(call),
                         .most_wait = most_wait(call),
-                        .run = m_runs_of.of(call.work(), duration::zero()),
+                        .run = m_run_times.of(call.work(), duration::zero()),
                         .scope = &scope});
     if (scope.is_cancelled())
     {
@@ -188,8 +188,8 @@
                           ? steady_clock::now() - begin
                           : m_places.mean_run();
     m_places.release(took);
-    if (is_run(answer))
-        m_runs_of.ran(call.work(), took);
+    if (ran_well(answer))
+        m_run_times.ran(call.work(), took);
     if (answer.end == call_end::answered)
         m_shedder.ran(answer.response->result_int() == run_failed,
                       steady_clock::now());
