Large answers go out in order, and are refused where their link is full

Cause: eight hosts of 15 Mbit/s give out 148 downloads a second of 90 KB (107 of 120 Mbit/s).

Change: `link_schedule` (pure) works out from what was handed to a link and its rate when it is clear, and lets large bodies go one after the other by due time, late ones last. `answer_backlog` (pure) refuses a call as not run when its answer could not leave in time; what is late in any case is taken only while the link is nearly idle. Owners tell their link's backlog with each answer, entries ask a few of them before a call whose answers are large, and weigh it. A session counts a call until its answer is out; a stop waits for that.

What is left there: reads refused by three owners in a row."

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -3,6 +3,7 @@
 
 #include "tillerhall/http/byte_backlog.hpp"
 #include "tillerhall/http/cancel_scope.hpp"
+#include "tillerhall/http/link_turns.hpp"
 #include "tillerhall/http/stream.hpp"
 #include "tillerhall/http/whole_message.hpp"
 #include "tillerhall/routing/call_route.hpp"
@@ -13,6 +14,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace tillerhall
 {
@@ -39,6 +41,10 @@
     std::function<bool()> ending;
     /** Counts bodies while they are read; may be null. */
     byte_backlog* incoming = nullptr;
+    /** Orders large answers on this host's link; may be null. */
+    link_turns* outgoing = nullptr;
+    /** Calls of all sessions that were read and whose answers are not out. */
+    std::int64_t unanswered = 0;
 };
 
 /**
@@ -59,14 +65,30 @@
     static constexpr std::size_t most_pending = 64;
 
     /** Serves @p stream until it ends and every call of it is done. */
-    static void serve(worker& on,
-                      std::shared_ptr<tcp_stream> stream,
-                      const session_host& host);
+    static void
+    serve(worker& on, std::shared_ptr<tcp_stream> stream, session_host& host);
 
 private:
     using request_parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /** Counts one for as long as it lives. */
+    class counted
+    {
+    public:
+        explicit counted(std::int64_t& in) noexcept
+            : m_in(in)
+        {
+            ++m_in;
+        }
+        ~counted() { --m_in; }
+        counted(const counted&) = delete;
+        counted& operator=(const counted&) = delete;
+
+    private:
+        std::int64_t& m_in;
+    };
+
     /** One call between its reading and the writing of its answer. */
     struct pending_call
     {
@@ -75,6 +97,7 @@
         whole_response response;
         bool done = false;
         bool last = false; ///< the connection ends behind its answer
+        std::optional<counted> unanswered; ///< from its reading on
     };
     using pending_ptr = std::shared_ptr<pending_call>;
 
@@ -87,7 +110,7 @@
 
     call_session(worker& on,
                  std::shared_ptr<tcp_stream> stream,
-                 const session_host& host);
+                 session_host& host);
 
     void wait_for_bytes();
     void got_bytes(const boost::system::error_code& failed, std::size_t size);
@@ -111,7 +134,7 @@
 
     worker& m_worker;
     std::shared_ptr<tcp_stream> m_stream;
-    const session_host& m_host;
+    session_host& m_host;
     boost::beast::flat_buffer m_buffer;
     std::deque<pending_ptr> m_pending;
     std::unique_ptr<boost::asio::steady_timer> m_linger_end;
--- a/include/tillerhall/http/whole_message.hpp
+++ b/include/tillerhall/http/whole_message.hpp
@@ -28,6 +28,8 @@
 {
     whole_request message;
     time_point received{}; ///< when its head was read
+    /** By which the answer should have arrived; set by who answers. */
+    time_point answer_due = time_point::max();
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -4,12 +4,14 @@
 #include "tillerhall/core/worker.hpp"
 #include "tillerhall/http/byte_backlog.hpp"
 #include "tillerhall/http/exchange.hpp"
+#include "tillerhall/http/link_turns.hpp"
 #include "tillerhall/http/stream_pool.hpp"
 #include "tillerhall/node/blackboard.hpp"
 #include "tillerhall/node/call_admission.hpp"
 #include "tillerhall/proxy/owner_answer.hpp"
 #include "tillerhall/proxy/run_register.hpp"
 #include "tillerhall/proxy/wire_names.hpp"
+#include "tillerhall/routing/answer_sizes.hpp"
 #include "tillerhall/routing/failure_shedder.hpp"
 #include "tillerhall/routing/run_estimates.hpp"
 #include "tillerhall/targets/target_register.hpp"
@@ -37,6 +39,9 @@
 
     void set_target_lost(target_lost action) { m_lost = std::move(action); }
 
+    /** Large answers go out by these turns, so their backlog is known. */
+    void set_link(const link_turns& outgoing) { m_link = &outgoing; }
+
     /** Runs one call; the request's body is kept. */
     owner_answer run(const whole_request& request,
                      const owner_call& call,
@@ -73,6 +78,13 @@
 
 private:
     owner_answer refuse(const owner_call& call, std::string reason) const;
+    /** @return how long the link takes for the answers before a new one. */
+    duration link_backlog() const;
+    /** @return the bytes to expect of the answer; 0 for small ones. */
+    std::uint64_t large_answer(const work_class& work) const;
+    /** @return how long the answer would wait for the link, if that is too
+     * long to run the call. */
+    std::optional<duration> link_full_for(const owner_call& call) const;
     /** @return by when an answer is worth most, for the order of waiting. */
     time_point due(const owner_call& call) const;
     owner_answer send(const whole_request& request,
@@ -95,6 +107,9 @@
     byte_backlog m_incoming;
     run_register m_runs;
     run_estimates m_run_times;
+    answer_sizes m_answers;
+    byte_backlog m_promised; ///< by the runs under way
+    const link_turns* m_link = nullptr;
     bool m_up = true;
     failure_shedder m_shedder;
     random_source m_random{entropy_seed()};
--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -3,6 +3,7 @@
 
 #include "tillerhall/core/address.hpp"
 #include "tillerhall/core/time.hpp"
+#include "tillerhall/routing/answer_sizes.hpp"
 #include "tillerhall/routing/policy.hpp"
 #include "tillerhall/routing/retry_budget.hpp"
 #include "tillerhall/routing/route_view.hpp"
@@ -34,6 +35,8 @@
     double slots = 0;           ///< of the target; 0 unknown
     /** Of bodies on their way to the owner; told only when it is asked. */
     std::uint64_t incoming_bytes = 0;
+    /** The link takes so long for the answers before a new large one. */
+    milliseconds link_backlog{0};
 };
 
 /** Where a call comes from and what it carries, for its way to a target. */
@@ -127,6 +130,9 @@
     duration
     time_on_link(const member& to, const call_origin& from, time_point now);
 
+    /** @return the mean bytes of the answers to @p work; 0 if not known. */
+    double answer_bytes(const work_class& work);
+
     /** Counts a call of @p service towards its retry budget. */
     void count_call(const std::string& service, std::int64_t percent);
 
@@ -145,8 +151,10 @@
         double failures = 0; ///< decaying share of recent calls
         double refusals = 0; ///< decaying share of recent calls
         double latency_ms = 0;
-        double incoming_bytes = 0; ///< at `asked`
-        double round_trip_ms = 0;  ///< at `asked`
+        double incoming_bytes = 0;    ///< at `asked`
+        milliseconds link_backlog{0}; ///< at `told_at`
+        time_point told_at{};         ///< when the owner told anything
+        double round_trip_ms = 0;     ///< at `asked`
         time_point asked{};
         time_point first_seen{};
         time_point last_end{};
@@ -162,9 +170,15 @@
     double effective_weight(const place_route& place,
                             const std::vector<address>& avoid,
                             time_point now);
-    static void take_word(record& of, const owner_word& word);
+    static void take_word(record& of, const owner_word& word, time_point now);
     record& record_of(const address& owner, time_point now);
     target_standing standing(const record& of, time_point now) const;
+    /** @return milliseconds that an answer of @p bytes would need to leave the
+     * host of @p to, behind those that its owner told of. */
+    static double answer_link_ms(const member& to,
+                                 const record& known,
+                                 double bytes,
+                                 time_point now);
     /** @return milliseconds, see `time_on_link`. */
     static double link_ms(const call_origin& from,
                           const member& to,
@@ -175,8 +189,7 @@
     std::mutex m_mutex;
     random_source m_random;
     std::map<address, record> m_records;
-    /** Decaying mean size of the answers to each class of work, in bytes. */
-    std::map<work_class, double> m_answer_bytes;
+    answer_sizes m_answers;
     std::map<std::string, retry_budget> m_budgets;
     std::uint64_t m_turn = 0;
 };
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::seconds linger_time(1);
 // A typical head; each connection that rests holds so much.
 constexpr std::size_t first_read_bytes = 512;
+// A typical head of an answer, as a link carries it.
+constexpr std::uint64_t head_bytes = 300;
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 
 request_fault fault_for(const boost::system::error_code& failed)
@@ -49,7 +51,7 @@
 
 call_session::call_session(worker& on,
                            std::shared_ptr<tcp_stream> stream,
-                           const session_host& host)
+                           session_host& host)
     : m_worker(on)
     , m_stream(std::move(stream))
     , m_host(host)
@@ -58,7 +60,7 @@
 
 void call_session::serve(worker& on,
                          std::shared_ptr<tcp_stream> stream,
-                         const session_host& host)
+                         session_host& host)
 {
     const std::shared_ptr<call_session> made(
         new call_session(on, std::move(stream), host));
@@ -131,6 +133,7 @@
         return false;
     }
     m_pending.push_back(call);
+    call->unanswered.emplace(m_host.unanswered);
     if (outcome == read_outcome::fault)
     {
         call->response = m_host.refuse(fault);
@@ -280,6 +283,9 @@
     const bool has_body = call.request.message.method() != http::verb::head;
     if (!has_body)
         call.response.body().clear(); // its length stays told
+    if (m_host.outgoing != nullptr)
+        m_host.outgoing->await_turn(call.response.body().size() + head_bytes,
+                                    call.request.answer_due);
     m_stream->expires_after(write_timeout);
     boost::system::error_code failed;
     http::async_write(*m_stream, call.response, await{failed});
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -122,6 +122,7 @@
                          [this](const boost::json::object&)
                          { return to_json(owner->word()); });
         owner->set_target_lost([this] { reporter->target_lost(); });
+        owner->set_link(outgoing);
         mesh->routes_changed = [this](const route_view&) { publish_targets(); };
         compose_sessions();
     }
@@ -131,10 +132,13 @@
         const auto ending = [this] { return is_stopping(board.phase); };
         const auto refuse = [this](const request_fault& fault)
         { return entry->refuse(fault); };
-        client_host = {
-            [this](received_request& request, cancel_scope& scope)
-            { return entry->answer(request, scope); },
-            refuse, [this] { return board.call_map.get()->limits(); }, ending};
+        client_host = {[this](received_request& request, cancel_scope& scope)
+                       { return entry->answer(request, scope); },
+                       refuse,
+                       [this] { return board.call_map.get()->limits(); },
+                       ending,
+                       nullptr,
+                       &outgoing};
         peer_host = {[this](received_request& request, cancel_scope& scope)
                      { return owner->answer_peer(request, scope); },
                      refuse,
@@ -144,7 +148,9 @@
                                               peer_head_timeout,
                                               peer_idle_timeout};
                      },
-                     ending, &owner->incoming()};
+                     ending,
+                     &owner->incoming(),
+                     &outgoing};
     }
 
     std::optional<owner_word> ask_owner(const address& peer)
@@ -285,15 +291,17 @@
         planned_stop();
     }
 
+    /** @return calls that came and whose answers are not out; an answer that
+     * waits for the link is cut if the process ends before. */
     std::int64_t calls_here() const
     {
-        return board.calls_in_flight + owner->places().in_flight();
+        return client_host.unanswered + peer_host.unanswered;
     }
 
     /** A client whose call outlasts the grace gets an answer, not a cut. */
     void end_last_calls()
     {
-        if (board.calls_in_flight == 0)
+        if (calls_here() == 0)
             return;
         board.decisions.note("calls_ended", config.advertise_rpc.text(),
                              "the grace is over",
@@ -337,6 +345,7 @@
     mesh_adapter adapter;
     entry_settings entry_config;
     worker on;
+    link_turns outgoing{on.io(), config.link_mbps};
     blackboard board;
     target_board board_targets;
     target_register targets;
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -129,6 +129,8 @@
     const auto left = time_left_of(message[m_names.time_left]);
     set_terms(state.call, route, request.received, left);
     classify(state.call, left);
+    request.answer_due =
+        request.received + state.call.objective - state.call.elapsed;
     remove_hop_fields(message);
     state.scope = &scope;
     m_under_way.push_back(state);
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -19,14 +19,10 @@
     hop_field::service, hop_field::kind,         hop_field::rank,
     hop_field::origin,  hop_field::time_left_ms, hop_field::objective_ms,
     hop_field::nested,  hop_field::elapsed_ms};
-constexpr std::array answer_fields{hop_field::end,
-                                   hop_field::reached,
-                                   hop_field::load,
-                                   hop_field::run_ms,
-                                   hop_field::slots,
-                                   hop_field::reason,
-                                   hop_field::retry_after_ms,
-                                   hop_field::alike};
+constexpr std::array answer_fields{
+    hop_field::end,    hop_field::reached,        hop_field::load,
+    hop_field::run_ms, hop_field::slots,          hop_field::link_backlog_ms,
+    hop_field::reason, hop_field::retry_after_ms, hop_field::alike};
 constexpr unsigned refusal_status = 503;
 
 template <class Number>
@@ -69,7 +65,8 @@
 {
     return {{"l", sent.load.value_or(0)},
             {"s", sent.slots},
-            {"i", sent.incoming_bytes}};
+            {"i", sent.incoming_bytes},
+            {"b", sent.link_backlog.count()}};
 }
 
 owner_word owner_word_from_json(const boost::json::object& members)
@@ -78,6 +75,8 @@
     read.load = boost::json::value_to<double>(members.at("l"));
     read.slots = boost::json::value_to<double>(members.at("s"));
     read.incoming_bytes = boost::json::value_to<std::uint64_t>(members.at("i"));
+    read.link_backlog =
+        milliseconds(boost::json::value_to<std::int64_t>(members.at("b")));
     return read;
 }
 
@@ -143,6 +142,9 @@
         response.set(hop_field::load, percent(*answer.told.load));
     response.set(hop_field::run_ms, tenths(answer.told.run_ms));
     response.set(hop_field::slots, tenths(answer.told.slots));
+    if (answer.told.link_backlog > milliseconds::zero())
+        response.set(hop_field::link_backlog_ms,
+                     std::to_string(answer.told.link_backlog.count()));
     if (answer.elsewhere_alike)
         response.set(hop_field::alike, "1");
     if (!answer.reason.empty())
@@ -176,6 +178,9 @@
         answer.told.load = static_cast<double>(*load) / hundred;
     answer.told.run_ms = from_tenths(response[hop_field::run_ms]);
     answer.told.slots = from_tenths(response[hop_field::slots]);
+    answer.told.link_backlog = milliseconds(
+        number_in<std::int64_t>(response[hop_field::link_backlog_ms])
+            .value_or(0));
     if (answer.end != call_end::answered)
         return answer;
     for (const auto* name : answer_fields)
--- a/src/proxy/owner_choice.cpp
+++ b/src/proxy/owner_choice.cpp
@@ -74,12 +74,15 @@
     const call_origin from{&m_config.place, &m_config.own, bytes, work};
     const auto best = [&](const std::vector<member_ptr>& among)
     { return m_targets.choose_among(among, avoid, from, steady_clock::now()); };
-    if (bytes < large_body)
+    const auto answer = static_cast<std::size_t>(m_targets.answer_bytes(work));
+    if (std::max(bytes, answer) < large_body)
         return {best(candidates)};
     const auto asked = whom_to_ask(candidates, avoid, from);
     if (asked.size() < 2)
         return {best(asked)};
     const auto answered = ask(asked);
+    if (bytes < large_body)
+        return {best(answered.empty() ? asked : answered)};
     if (answered.empty())
         return {nullptr, first_answer};
     const auto owner = best(answered);
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -1,4 +1,5 @@
 #include "tillerhall/proxy/target_owner.hpp"
+#include "tillerhall/routing/answer_backlog.hpp"
 
 #include <algorithm>
 #include <boost/beast/http.hpp>
@@ -99,6 +100,8 @@
     told.load = m_places.load();
     told.slots = target == nullptr ? 0 : static_cast<double>(target->slots);
     told.incoming_bytes = m_incoming.bytes();
+    told.link_backlog =
+        std::chrono::duration_cast<milliseconds>(link_backlog());
     return told;
 }
 
@@ -117,6 +120,34 @@
     m_shedder.call_failed(for_want_of_room, steady_clock::now());
 }
 
+duration target_owner::link_backlog() const
+{
+    if (m_link == nullptr)
+        return duration::zero();
+    return m_link->backlog() + m_link->time_of(m_promised.bytes());
+}
+
+std::uint64_t target_owner::large_answer(const work_class& work) const
+{
+    const auto bytes = static_cast<std::uint64_t>(m_answers.of(work, 0));
+    return bytes < link_schedule::large_bytes ? 0 : bytes;
+}
+
+std::optional<duration>
+target_owner::link_full_for(const owner_call& call) const
+{
+    const auto bytes = large_answer(call.work());
+    if (m_link == nullptr || bytes == 0)
+        return std::nullopt;
+    const answer_backlog backlog{
+        .ahead = link_backlog(),
+        .run = m_run_times.of(call.work(), m_places.mean_run()),
+        .own = m_link->time_of(bytes),
+        .objective = call.objective,
+        .elapsed = call.elapsed};
+    return backlog.is_too_long() ? std::optional(backlog.wait()) : std::nullopt;
+}
+
 owner_answer target_owner::refuse(const owner_call& call,
                                   std::string reason) const
 {
@@ -157,6 +188,12 @@
         shed.elsewhere_alike = true;
         return shed;
     }
+    if (const auto full = link_full_for(call))
+    {
+        auto refused = refuse(call, "link_full");
+        refused.retry_after = *full;
+        return refused;
+    }
     const auto verdict = m_places.acquire(
         m_worker.io(), {.deadline = call.deadline,
                         .rank = call.rank,
@@ -183,13 +220,17 @@
     }
     const auto begin = steady_clock::now();
     const run_register::run running(m_runs, call.request_id, call.work());
+    const byte_backlog::body promised(&m_promised, large_answer(call.work()));
     auto answer = send(request, call, target_report(*target), scope);
     const auto took = answer.end == call_end::answered
                           ? steady_clock::now() - begin
                           : m_places.mean_run();
     m_places.release(took);
     if (ran_well(answer))
+    {
         m_run_times.ran(call.work(), took);
+        m_answers.answered(call.work(), answer.response->body().size());
+    }
     if (answer.end == call_end::answered)
         m_shedder.ran(answer.response->result_int() == run_failed,
                       steady_clock::now());
@@ -302,6 +343,7 @@
         owner_answer refused = refuse({}, "malformed_hop_fields");
         return to_hop_response(std::move(refused), {}, m_names.request_id);
     }
+    request.answer_due = request.received + call->objective - call->elapsed;
     return to_hop_response(run(request.message, *call, scope), *call,
                            m_names.request_id);
 }
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -1,5 +1,7 @@
 #include "tillerhall/routing/target_board.hpp"
 
+#include "tillerhall/routing/link_schedule.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -160,6 +162,21 @@
     return waits + bytes * bits / (bits_per_ms_and_mbps * to.link_mbps);
 }
 
+double target_board::answer_link_ms(const member& to,
+                                    const record& known,
+                                    double bytes,
+                                    time_point now)
+{
+    if (to.link_mbps == 0 || bytes < link_schedule::large_bytes)
+        return 0;
+    // Since it was told, the link has gone on.
+    const double left =
+        seconds(known.told_at + known.link_backlog - now) * 1000;
+    const double own = to_ms(
+        link_schedule(to.link_mbps).time_of(static_cast<std::uint64_t>(bytes)));
+    return std::max(0.0, left) + own;
+}
+
 duration target_board::time_on_link(const member& to,
                                     const call_origin& from,
                                     time_point now)
@@ -208,9 +225,7 @@
                               const call_origin& from,
                               time_point now)
 {
-    const auto answer = m_answer_bytes.find(from.work);
-    const double answer_bytes =
-        answer == m_answer_bytes.end() ? unknown_answer_bytes : answer->second;
+    const double answer = m_answers.of(from.work, unknown_answer_bytes);
     std::vector<target_standing> standings;
     for (const auto& each : left)
     {
@@ -220,8 +235,9 @@
             run != known.run_ms.end())
             standings.back().run_ms = run->second;
         standings.back().distance_ms =
-            distance_ms(from, answer_bytes, each->place) +
-            link_weight * link_ms(from, *each, known, now);
+            distance_ms(from, answer, each->place) +
+            link_weight * link_ms(from, *each, known, now) +
+            answer_link_ms(*each, known, answer, now);
     }
     std::vector<std::size_t> usable;
     for (std::size_t i = 0; i < left.size(); ++i)
@@ -285,15 +301,11 @@
     if (call.verdict == call_verdict::failed)
         of.failures = std::max(of.failures, aside_share);
     if (call.answer_bytes > 0)
-    {
-        const auto size = static_cast<double>(call.answer_bytes);
-        auto& mean = m_answer_bytes.try_emplace(call.work, size).first->second;
-        mean += (size - mean) * newest_share;
-    }
+        m_answers.answered(call.work, call.answer_bytes);
     if (call.verdict == call_verdict::good)
         of.latency_ms +=
             (seconds(call.took) * 1000 - of.latency_ms) * newest_share;
-    take_word(of, call.told);
+    take_word(of, call.told, now);
     if (call.told.run_ms > 0)
         of.run_ms[call.work] = call.told.run_ms;
     if (!call.told.load && call.verdict == call_verdict::refused)
@@ -301,12 +313,21 @@
     of.last_end = now;
 }
 
-void target_board::take_word(record& of, const owner_word& word)
+void target_board::take_word(record& of, const owner_word& word, time_point now)
 {
     if (word.slots > 0)
         of.slots = word.slots;
-    if (word.load)
-        of.load = *word.load;
+    if (!word.load)
+        return;
+    of.load = *word.load;
+    of.link_backlog = word.link_backlog;
+    of.told_at = now;
+}
+
+double target_board::answer_bytes(const work_class& work)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_answers.of(work, 0);
 }
 
 void target_board::told(const address& owner,
@@ -316,7 +337,7 @@
 {
     const std::lock_guard lock(m_mutex);
     auto& of = record_of(owner, now);
-    take_word(of, word);
+    take_word(of, word, now);
     of.round_trip_ms = seconds(round_trip) * 1000;
     of.incoming_bytes = static_cast<double>(word.incoming_bytes);
     of.asked = now;
--- /dev/null
+++ b/tests/integration/call_session.cpp
@@ -0,0 +1,58 @@
+/** @file What a session counts as not answered yet. */
+#include "tillerhall/http/call_session.hpp"
+#include "tillerhall/core/await.hpp"
+#include "tillerhall/core/worker.hpp"
+#include "tillerhall/http/listener.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace tillerhall;
+
+TEST_CASE("an answer counts until its last byte was taken, so that a node that "
+          "stops waits for it")
+{
+    // More than the buffers of two sockets hold.
+    constexpr std::size_t large = 32 * 1024 * 1024;
+    run_main_fiber(
+        [&](worker& on)
+        {
+            session_host host;
+            host.answer = [&](received_request&, cancel_scope&)
+            {
+                whole_response answer(boost::beast::http::status::ok, 11);
+                answer.body().assign(large, 'x');
+                answer.prepare_payload();
+                return answer;
+            };
+            host.limits = [] { return client_limits{}; };
+            host.ending = [] { return false; };
+            auto taken = listener::open(on, {"127.0.0.1", 0});
+            REQUIRE(taken);
+            (*taken)->start_taking(
+                [&](std::shared_ptr<tcp_stream> stream)
+                { call_session::serve(on, std::move(stream), host); });
+            auto client = connect_stream(on.io(), (*taken)->local(),
+                                         std::chrono::seconds(5), "127.0.0.1");
+            REQUIRE(client);
+            boost::system::error_code failed;
+            const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+            boost::asio::async_write(**client, boost::asio::buffer(request),
+                                     await{failed});
+            std::vector<char> head(1024);
+            (*client)->async_read_some(boost::asio::buffer(head),
+                                       await{failed});
+            REQUIRE_FALSE(failed);
+            CHECK(host.unanswered == 1);
+            std::vector<char> rest(large);
+            boost::asio::async_read(**client, boost::asio::buffer(rest),
+                                    boost::asio::transfer_exactly(large - 1024),
+                                    await{failed});
+            const auto until = steady_clock::now() + std::chrono::seconds(5);
+            while (host.unanswered != 0 && steady_clock::now() < until)
+                sleep_for(on.io(), milliseconds(5));
+            CHECK(host.unanswered == 0);
+            return 0;
+        });
+}
--- /dev/null
+++ b/tests/unit/link_schedule.cpp
@@ -0,0 +1,236 @@
+/** @file Which large answers go out on a slow link, and which are refused. */
+#include "tillerhall/routing/link_schedule.hpp"
+#include "tillerhall/core/random.hpp"
+#include "tillerhall/routing/answer_backlog.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <list>
+#include <map>
+#include <vector>
+
+using namespace tillerhall;
+
+namespace
+{
+
+constexpr double mbps = 15;
+constexpr std::uint64_t answer = 90'000;
+
+/** Bodies that wait and the order in which they were let go. */
+struct played_link
+{
+    void enqueue(int name, std::uint64_t bytes, time_point due, time_point now)
+    {
+        auto& waiter = waiters.emplace_back();
+        waiter.bytes = bytes;
+        waiter.due = due;
+        waiter.wake = [this, name] { order.push_back(name); };
+        schedule.enqueue(waiter, now);
+    }
+
+    std::list<link_waiter> waiters;
+    std::vector<int> order;
+    link_schedule schedule{mbps};
+};
+
+} // namespace
+
+TEST_CASE("small bodies and links of unknown rate never wait")
+{
+    const time_point now{};
+    link_schedule slow(mbps);
+    slow.sent(10 * answer, now);
+    CHECK_FALSE(slow.must_wait(link_schedule::large_bytes - 1, now));
+    CHECK(slow.must_wait(link_schedule::large_bytes, now));
+
+    link_schedule unknown(0);
+    unknown.sent(10 * answer, now);
+    CHECK_FALSE(unknown.must_wait(answer, now));
+    CHECK(unknown.backlog(now) == duration::zero());
+}
+
+TEST_CASE("a link is clear again when it has carried what it was given")
+{
+    const time_point now{};
+    link_schedule link(mbps);
+    link.sent(answer, now);
+    CHECK(link.must_wait(answer, now));
+    CHECK(link.backlog(now) == link.time_of(answer));
+    const auto later = now + link.time_of(answer);
+    CHECK_FALSE(link.must_wait(answer, later));
+    CHECK(link.backlog(later) == duration::zero());
+}
+
+TEST_CASE("what is due first goes first, what is late already goes last")
+{
+    played_link link;
+    const auto now = time_point{} + std::chrono::hours(1);
+    link.schedule.sent(answer, now);
+    link.enqueue(1, answer, now + std::chrono::seconds(3), now);
+    link.enqueue(2, answer, now - milliseconds(5), now); // late
+    link.enqueue(3, answer, now + std::chrono::seconds(1), now);
+    link.enqueue(4, answer, now + std::chrono::seconds(2), now);
+    for (auto at = now; at < now + std::chrono::seconds(1);
+         at += milliseconds(1))
+        link.schedule.grant(at);
+    CHECK(link.order == std::vector{3, 4, 1, 2});
+}
+
+TEST_CASE("a body that gave up waiting is not let go")
+{
+    played_link link;
+    const auto now = time_point{} + std::chrono::hours(1);
+    link.schedule.sent(2 * answer, now);
+    link.enqueue(1, answer, now + std::chrono::seconds(1), now);
+    link.enqueue(2, answer, now + std::chrono::seconds(2), now);
+    link.schedule.grant(now + std::chrono::seconds(1));
+    CHECK(link.order == std::vector{1});
+    CHECK(link.schedule.any_waits());
+}
+
+TEST_CASE(
+    "ten answers that are ready at once: the mean one arrives in half the "
+    "time, and short messages wait for no more than one of them")
+{
+    played_link link;
+    const auto now = time_point{} + std::chrono::hours(1);
+    link.schedule.sent(answer, now);
+    for (int i = 1; i < 10; ++i)
+        link.enqueue(i, answer, now + std::chrono::seconds(1 + i), now);
+    const auto each = link.schedule.time_of(answer);
+    duration sum = each;
+    std::size_t seen = 0;
+    for (auto at = now; at < now + std::chrono::seconds(2);
+         at += milliseconds(1))
+    {
+        link.schedule.grant(at);
+        // What a short message finds before it: never two whole answers.
+        const auto waiting =
+            link.schedule.time_of((9 - link.order.size()) * answer);
+        CHECK(link.schedule.backlog(at) - waiting <=
+              each + link_schedule::most_ahead);
+        if (link.order.size() > seen)
+            sum += at - now + link_schedule::most_ahead + each;
+        seen = link.order.size();
+    }
+    CHECK(seen == 9);
+    CHECK(sum / 10 < 10 * each * 2 / 3); // together all take 10 x each
+}
+
+namespace
+{
+
+constexpr milliseconds run(220);
+constexpr milliseconds objective(1'000);
+constexpr milliseconds budget(6'000);
+
+struct download
+{
+    time_point first{}; ///< its client's first try
+    int tries = 0;
+    link_waiter waiter;
+};
+
+struct outcome
+{
+    int in_time = 0;
+    int late = 0;
+    int refused = 0;
+    double worth() const
+    {
+        return (in_time + 0.3 * late) / std::max(1, in_time + late + refused);
+    }
+};
+
+/** Clients that come @p per_s times a second for 20 s, and come back twice. */
+outcome play_downloads(double per_s, bool refuses)
+{
+    random_source random(7);
+    link_schedule link(mbps);
+    std::list<download> all;
+    std::multimap<time_point, download*> arrivals;
+    std::multimap<time_point, download*> ends;
+    const auto begin = time_point{} + std::chrono::hours(1);
+    for (double at_ms = 0; at_ms < 20'000;
+         at_ms -= std::log(1 - random.unit()) * 1000 / per_s)
+    {
+        auto& made = all.emplace_back();
+        made.first = begin + milliseconds(static_cast<std::int64_t>(at_ms));
+        arrivals.emplace(made.first, &made);
+    }
+    outcome seen;
+    std::uint64_t promised = 0;
+    auto now = begin;
+    const auto arrive = [&](download& call)
+    {
+        const answer_backlog backlog{.ahead = link.backlog(now) +
+                                              link.time_of(promised),
+                                     .run = run,
+                                     .own = link.time_of(answer),
+                                     .objective = objective,
+                                     .elapsed = now - call.first};
+        if (!refuses || !backlog.is_too_long())
+        {
+            promised += answer;
+            ends.emplace(now + run, &call);
+        }
+        else if (++call.tries < 3)
+            arrivals.emplace(now + backlog.wait(), &call);
+        else
+            ++seen.refused;
+    };
+    const auto arrived = [&](const download& call)
+    {
+        const auto took =
+            now + link_schedule::most_ahead + link.time_of(answer) - call.first;
+        ++(took <= objective ? seen.in_time
+           : took <= budget  ? seen.late
+                             : seen.refused);
+    };
+    const auto send = [&](download& call)
+    {
+        promised -= answer;
+        call.waiter.bytes = answer;
+        call.waiter.due = call.first + objective;
+        call.waiter.wake = [&arrived, &call] { arrived(call); };
+        link.enqueue(call.waiter, now);
+    };
+    for (; now < begin + std::chrono::seconds(60); now += milliseconds(1))
+    {
+        while (!arrivals.empty() && arrivals.begin()->first <= now)
+        {
+            auto* call = arrivals.begin()->second;
+            arrivals.erase(arrivals.begin());
+            arrive(*call);
+        }
+        while (!ends.empty() && ends.begin()->first <= now)
+        {
+            send(*ends.begin()->second);
+            ends.erase(ends.begin());
+        }
+        link.grant(now);
+    }
+    return seen;
+}
+
+} // namespace
+
+TEST_CASE("of more downloads than a link carries most that run are in time")
+{
+    // 18.75 answers of 90 KB a second fill nine tenths of 15 Mbit/s.
+    const auto refusing = play_downloads(28, true);
+    const auto taking_all = play_downloads(28, false);
+    CAPTURE(refusing.in_time, refusing.late, refusing.refused);
+    CAPTURE(taking_all.in_time, taking_all.late, taking_all.refused);
+    CHECK(refusing.in_time > 2 * refusing.late);
+    CHECK(refusing.worth() > 1.2 * taking_all.worth());
+}
+
+TEST_CASE("downloads that a link carries easily are all taken and in time")
+{
+    const auto seen = play_downloads(10, true);
+    CHECK(seen.refused == 0);
+    CHECK(seen.late * 50 < seen.in_time);
+}
