A start waits 60 ms for a peer, and reads the rows twice in place of following them

Cause: after all hosts lost power, a node had the members' rows and waited 0.3 s more for a peer's answer (195 records from each of three peers, on a tenth of a core); peers start as well. Its own target and others could run calls meanwhile. And each start followed the members' rows for 5 s, some three calls to the store, to learn of nodes that wrote theirs after it had read.

Change: the wait for a peer at a start is 60 ms, and the join goes on behind it. A node that wrote its row for the first time reads the rows once more: of any two nodes the one that wrote later then knows the other, and tells it. Only readers follow the rows.

--- a/include/tillerhall/control/directory_controller.hpp
+++ b/include/tillerhall/control/directory_controller.hpp
@@ -58,6 +58,13 @@
     void follow_loop();
     void write_loop();
     bool write_once();
+    /**
+     * Reads the rows once more behind the first write of the own one: of any
+     * two nodes that start at once the one that wrote later then knows the
+     * other, and tells it. Following the rows for 5 s instead cost a start
+     * three calls to the store more.
+     */
+    void read_again();
     void take(const std::vector<stored_row>& rows);
     void set_loaded(const char* from);
     row_name own_row() const;
@@ -71,7 +78,6 @@
     std::uint64_t m_revision = 0;     ///< of the store, up to which it was read
     std::uint64_t m_own_revision = 0; ///< of this node's row
     std::optional<member> m_stored;   ///< what this node's row holds
-    time_point m_loaded_at{};
     bool m_loaded = false;
     bool m_rows_read = false;
     bool m_writing = false;
--- a/src/control/directory_controller.cpp
+++ b/src/control/directory_controller.cpp
@@ -15,13 +15,12 @@
 // Nodes tell each other of changes, so a feed that went silent may be found
 // out late here.
 constexpr milliseconds feed_wait(8'000);
-// For so long after its start a node follows the rows itself: in a start of
-// all it reads them before the others have written theirs.
-constexpr milliseconds follow_at_first(5'000);
 constexpr milliseconds duty_check(1'000);
-// A peer's answer brings what rows do not hold (which targets take work). One
-// that does not come holds up the start no longer than this.
-constexpr milliseconds join_wait(500);
+// A peer's answer brings what rows do not hold (which targets take work); in a
+// calm mesh it is there within this. After a loss of all hosts' power it is
+// not: peers start as well, and a node that waits 0.3 s for them refuses calls
+// that its own target and others could run.
+constexpr milliseconds join_wait(60);
 // Changes come in bursts (a start of all, a release): one read for many. The
 // nodes tell each other of a change at once; the rows are the net below that.
 constexpr milliseconds rest_after_change(2'000);
@@ -91,7 +90,6 @@
         sleep_for(m_mesh.on.io(), waits.next(m_mesh.random));
     }
     m_rows_read = true;
-    m_loaded_at = steady_clock::now();
     own_record_changed();
     if (!m_loaded)
     {
@@ -178,8 +176,7 @@
 
 bool directory_controller::should_follow() const
 {
-    return m_config.is_reader() ||
-           steady_clock::now() < m_loaded_at + follow_at_first;
+    return m_config.is_reader();
 }
 
 void directory_controller::follow_loop()
@@ -237,11 +234,21 @@
                                     outcome.reason().message());
         return false;
     }
+    const bool is_new = m_own_revision == 0;
     m_own_revision = outcome->revision;
     if (!outcome->written)
         return false; // an earlier write was done late; try on top of it
     m_stored = self;
+    if (is_new)
+        m_mesh.on.spawn([this] { read_again(); });
     return true;
 }
 
+void directory_controller::read_again()
+{
+    backoff waits(least_wait, most_wait);
+    while (!load_rows())
+        sleep_for(m_mesh.on.io(), waits.next(m_mesh.random));
+}
+
 } // namespace tillerhall
--- a/standins/platform_standin/store_standin.cpp
+++ b/standins/platform_standin/store_standin.cpp
@@ -82,9 +82,16 @@
     return found;
 }
 
+std::uint64_t store_standin::calls_on(const std::string& table) const
+{
+    const auto found = m_calls_by_table.find(table);
+    return found == m_calls_by_table.end() ? 0 : found->second;
+}
+
 http_response store_standin::answer(const http_request& request)
 {
     ++m_calls;
+    ++m_calls_by_table[request.param("table")];
     if (m_faults.silent)
         sleep_for(m_worker.io(), never);
     if (m_faults.down)
@@ -109,6 +116,7 @@
         const auto found = m_rows.find(key);
         const auto revision =
             found == m_rows.end() ? 0 : found->second.revision;
+        ++m_calls_by_table[key.table];
         holds = holds && each.at("ver").to_number<std::uint64_t>() == revision;
         if (found != m_rows.end())
             standing.push_back(to_json(key, found->second));
--- a/standins/platform_standin/store_standin.hpp
+++ b/standins/platform_standin/store_standin.hpp
@@ -49,6 +49,9 @@
 
     std::uint64_t calls() const noexcept { return m_calls; }
 
+    /** @return the calls that read, followed or wrote @p table. */
+    std::uint64_t calls_on(const std::string& table) const;
+
 private:
     struct row_key
     {
@@ -86,6 +89,7 @@
     std::uint64_t m_revision = 0;
     std::uint64_t m_oldest = 0; ///< changes up to here are forgotten
     std::uint64_t m_calls = 0;
+    std::map<std::string, std::uint64_t> m_calls_by_table;
 };
 
 } // namespace tillerhall
--- a/tests/integration/mesh_readers.cpp
+++ b/tests/integration/mesh_readers.cpp
@@ -88,6 +88,21 @@
         });
 }
 
+TEST_CASE("a start reads the members' rows twice and writes its own once")
+{
+    on_worker(
+        [](worker& on)
+        {
+            three_domains system(on);
+            sleep_for(on.io(), std::chrono::seconds(6));
+            // Three readers also follow the rows, with a rest behind changes.
+            constexpr std::uint64_t followed = 3 * 4;
+            CHECK(system.store().calls_on("members") <= 6 * 3 + followed);
+            for (auto& each : system.hosts())
+                CHECK(system.duty_of(each) != "follow");
+        });
+}
+
 TEST_CASE("a node whose reader falls silent asks the store itself")
 {
     on_worker(
