An owner whose target takes no work tells that it has no room

Cause, found by reading: without runs its load is zero, so an entry that asks would choose it before all others; each such call is refused and tried again. An answer without a load counted as one with room, too.

Change: an owner that has no target in use, whose target refuses connections or that ends tells a load of one at least; an answer that tells no load is no answer. `is_silent` is now `is_left_out`, since owners that were tried are left out as well.

--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -78,6 +78,7 @@
 
 private:
     owner_answer refuse(const owner_call& call, std::string reason) const;
+    bool takes_calls() const;
     whole_response answer_question() const;
     /** @return how long the link takes for the answers before a new one. */
     duration link_backlog() const;
--- a/include/tillerhall/routing/load_inquiry.hpp
+++ b/include/tillerhall/routing/load_inquiry.hpp
@@ -15,10 +15,10 @@
 /** What an entry knows of an owner that a call could go to. */
 struct owner_outlook
 {
-    bool is_near = false;   ///< of the entry's own failure domain
-    bool is_known = false;  ///< told its load a small part of a run ago
-    bool has_room = false;  ///< by that word, and what was sent there since
-    bool is_silent = false; ///< did not answer the last question, just now
+    bool is_near = false;     ///< of the entry's own failure domain
+    bool is_known = false;    ///< told its load a small part of a run ago
+    bool has_room = false;    ///< by that word, and what was sent there since
+    bool is_left_out = false; ///< was tried, or did not answer just now
 };
 
 /**
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -325,7 +325,8 @@
         return std::nullopt;
     if (result.reusable)
         m_pool.give_back(owner.peer, std::move(*stream));
-    return from_hop_response(std::move(*result.response)).told;
+    auto told = from_hop_response(std::move(*result.response)).told;
+    return told.load ? std::optional(std::move(told)) : std::nullopt;
 }
 
 owner_answer call_entry::send_to_peer(received_request& request,
--- a/src/proxy/owner_choice.cpp
+++ b/src/proxy/owner_choice.cpp
@@ -121,7 +121,7 @@
         auto& seen = outlooks.emplace_back(m_targets.outlook(*each, from, now));
         const bool was_tried =
             std::ranges::find(avoid, each->rpc) != avoid.end();
-        seen.is_silent = was_tried || is_silent(each->rpc, now);
+        seen.is_left_out = was_tried || is_silent(each->rpc, now);
     }
     return outlooks;
 }
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -93,11 +93,19 @@
     m_up = true;
 }
 
+bool target_owner::takes_calls() const
+{
+    return m_targets.in_use() != nullptr && m_up &&
+           m_board.phase != node_phase::ending;
+}
+
 owner_word target_owner::word() const
 {
     const auto* target = m_targets.in_use();
     owner_word told;
-    told.load = m_places.load();
+    // Without runs the load of one that takes no calls would attract them all.
+    told.load =
+        takes_calls() ? m_places.load() : std::max(1.0, m_places.load());
     told.slots = target == nullptr ? 0 : static_cast<double>(target->slots);
     told.incoming_bytes = m_incoming.bytes();
     told.link_backlog =
--- a/src/routing/load_inquiry.cpp
+++ b/src/routing/load_inquiry.cpp
@@ -37,7 +37,7 @@
     std::vector<std::size_t> far;
     std::vector<std::size_t> asked;
     for (std::size_t i = 0; i < owners.size(); ++i)
-        if (owners[i].is_known || owners[i].is_silent)
+        if (owners[i].is_known || owners[i].is_left_out)
             continue;
         else if (i == favourite)
             asked.push_back(i);
--- a/tests/integration/owner_choice.cpp
+++ b/tests/integration/owner_choice.cpp
@@ -231,6 +231,16 @@
         });
 }
 
+TEST_CASE("an owner whose target takes no work tells that it has no room")
+{
+    with_worker(
+        [](worker&, fixture& made)
+        {
+            REQUIRE(made.targets.in_use() == nullptr);
+            CHECK(made.owner.word().load >= 1);
+        });
+}
+
 TEST_CASE("a second try of a small call asks nobody")
 {
     with_worker(
--- a/tests/unit/load_inquiry.cpp
+++ b/tests/unit/load_inquiry.cpp
@@ -72,7 +72,7 @@
     random_source random(1);
     auto all = owners(10, 10);
     for (auto& each : all)
-        (each.is_near ? each.is_known : each.is_silent) = true;
+        (each.is_near ? each.is_known : each.is_left_out) = true;
     CHECK(inquiry.whom_to_ask(all, 0, start, random).empty());
     all[4].is_known = false;
     CHECK(inquiry.whom_to_ask(all, 0, start, random) ==
