A late answer waits two seconds at most for those in time

Cause, found by reading: what was late went behind all that was in time, without an end. An entry does not refuse answers as owners do, so on a link that is full for long an answer that is ready could wait until its client had left.

Change: what is late goes behind what is due within two seconds. The order of the test "what is due first goes first" holds for calls due within that time, and its longest due time is now 1.9 s, not 3. A function that nothing called is gone.

Test: "a late body goes out within two seconds, however many come in time".

--- a/include/tillerhall/http/link_turns.hpp
+++ b/include/tillerhall/http/link_turns.hpp
@@ -26,12 +26,6 @@
      */
     void await_turn(std::uint64_t bytes, time_point due);
 
-    /** Counts a body that goes out whatever the order. */
-    void count(std::uint64_t bytes)
-    {
-        m_schedule.sent(bytes, steady_clock::now());
-    }
-
     /** @return how long the link takes for all that is before a new body. */
     duration backlog() const { return m_schedule.backlog(steady_clock::now()); }
 
--- a/src/routing/link_schedule.cpp
+++ b/src/routing/link_schedule.cpp
@@ -7,8 +7,10 @@
 namespace
 {
 
-// Longer than any objective: behind all that can still be in time.
-constexpr std::chrono::minutes behind_all_in_time(10);
+// What is late goes behind all that is due within this, which is as long as the
+// objectives of calls with large answers; so it waits no longer than this for
+// others, however many come.
+constexpr std::chrono::seconds late_goes_behind(2);
 
 } // namespace
 
@@ -36,7 +38,7 @@
 void link_schedule::enqueue(link_waiter& waiter, time_point now)
 {
     if (now + time_of(waiter.bytes) > waiter.due)
-        waiter.due += behind_all_in_time;
+        waiter.due = now + late_goes_behind;
     const auto behind =
         std::ranges::find_if(m_waiters, [&](const link_waiter& each)
                              { return each.due > waiter.due; });
