--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -18,10 +18,10 @@
 // What was seen of a target loses half its meaning in this time.
 constexpr double half_life_s = 5;
 constexpr double warm_up_s = 5;
-// Of runs at a target that is nearly full a place changes hands each part of a
-// run. With words that hold 2, 1, 0.5, 0.25 and 0.1 runs 17, 18, 14, 9 and 6%
-// of the calls that a test plays meet a full owner first; 19% without
-// questions.
+// In the time of one run all places of a target are given anew, so what its
+// owner told holds for a small part of that. With words that hold 2, 1, 0.5,
+// 0.25 and 0.1 runs 17, 18, 14, 9 and 6% of the calls that a test plays meet a
+// full owner first; 19% without questions.
 constexpr double word_holds_runs = 0.1;
 // Refusals tell of the present load, so a few calls are enough to judge by.
 constexpr double refusal_share = 0.3;
