--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -16,7 +16,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t most_idle_per_peer = 32;
-// Three round trips between domains (1.4 ms one way at the users) and a
+// Three round trips between domains (1.4 ms one way is usual) and a
 // queue of new connections; a peer that takes longer is cut off.
 constexpr milliseconds connect_timeout(300);
 // Four retransmissions of TCP at the least timeout of Linux (200 ms, doubled
--- a/src/proxy/owner_choice.cpp
+++ b/src/proxy/owner_choice.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-// On a link of 10 Mbit/s, the slowest at the users, this takes 13 ms: more
+// On a slow link, 10 Mbit/s, this takes 13 ms: more
 // than to ask costs (a round trip between domains, 3 ms, and the work).
 constexpr std::size_t large_body = 16 * 1024;
 // Of two the better one is rarely bad (Mitzenmacher, 2001). A third one is
