Nodes tell how long calls waited for them, and when their processor is pressed

Each call_failed line has waited_ms and busy_ms, a histogram has the waits at the entry and at the owner, processor_pressed and processor_relieved are lines, calls refused since all owners had just done so are counted.

--- a/include/tillerhall/core/time.hpp
+++ b/include/tillerhall/core/time.hpp
@@ -25,4 +25,10 @@
     return std::chrono::duration_cast<milliseconds>(span).count();
 }
 
+/** @return @p span in milliseconds with their fractions. */
+inline double exact_ms(duration span) noexcept
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
 } // namespace tillerhall
--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -71,6 +71,9 @@
               boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
     {
         owner_call call;
+        time_point received{}; ///< see `received_request`
+        duration waited{};     ///< from then until its work began
+        duration busy_for{};   ///< of the worker, at that moment
         cancel_scope* scope = nullptr;
         const call_route* route = nullptr;
         std::vector<address> tried;
@@ -120,9 +123,11 @@
                        const cancel_scope& scope);
     bool helps_elsewhere(const call_state& state, const owner_answer& last);
     bool take_budget(const std::string& service, const owner_answer& last);
-    void note_end(const call_state& state,
-                  const owner_answer& answer,
-                  time_point start);
+    /** Notes how long the call waited for this node to begin with it. */
+    void note_begin(call_state& state);
+    /** Writes a line when the processor gets pressed, and when that ends. */
+    void note_pressure(duration busy_for);
+    void note_end(const call_state& state, const owner_answer& answer);
 
     const entry_settings& m_config;
     const wire_names& m_names;
@@ -144,6 +149,8 @@
                            boost::intrusive::constant_time_size<false>>
         m_under_way;
     bool m_ended = false;
+    bool m_was_pressed = false;
+    latency_histogram& m_waits;
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -19,6 +19,9 @@
 namespace tillerhall
 {
 
+/** From a call's coming to the beginning of its work, by who sent it. */
+inline constexpr const char* wait_metric = "tillerhall_call_wait_ms";
+
 /**
  * Runs calls at the target beside this node. Since no other process reaches
  * that target, its slots, its leaving and the word on whether a call ran are
@@ -116,6 +119,7 @@
     bool m_up = true;
     failure_shedder m_shedder;
     random_source m_random{entropy_seed()};
+    latency_histogram& m_waits;
 };
 
 } // namespace tillerhall
--- a/src/node/entry_proxy.cpp
+++ b/src/node/entry_proxy.cpp
@@ -38,9 +38,7 @@
 
 double milliseconds_since(time_point start)
 {
-    const std::chrono::duration<double, std::milli> took =
-        steady_clock::now() - start;
-    return took.count();
+    return exact_ms(steady_clock::now() - start);
 }
 
 std::string_view name_of(relay_end end)
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -103,6 +103,7 @@
     , m_worker(on)
     , m_pool(on.io(), most_idle_per_peer, config.own.ip, peer_user_timeout)
     , m_shares(share_start(config.own))
+    , m_waits(board.metrics.histogram(wait_metric, "from=\"client\""))
 {
 }
 
@@ -120,6 +121,8 @@
 {
     auto& message = request.message;
     call_state state;
+    state.received = request.received;
+    note_begin(state);
     state.call.request_id = std::string(message[m_names.request_id]);
     const auto& id = state.call.request_id;
     if (id.empty())
@@ -146,7 +149,7 @@
     --m_board.calls_in_flight;
     if (m_ended && answer.end == call_end::cancelled)
         answer.reason = "this node ended before the answer came";
-    note_end(state, answer, request.received);
+    note_end(state, answer);
     return m_answers.of(id, state.may_have_run, std::move(answer));
 }
 
@@ -222,6 +225,9 @@
         if (chosen.owners_full > duration::zero())
         {
             last.reason = "owners_full";
+            m_board.metrics
+                .get("tillerhall_refused_total", "reason=\"owners_full\"")
+                .add();
             last.retry_after = chosen.owners_full;
         }
         if (!owner)
@@ -416,14 +422,33 @@
     return failed;
 }
 
-void call_entry::note_end(const call_state& state,
-                          const owner_answer& answer,
-                          time_point start)
+void call_entry::note_begin(call_state& state)
+{
+    state.busy_for = m_worker.busy_for();
+    state.waited = steady_clock::now() - state.received;
+    m_waits.record(exact_ms(state.waited));
+    if (m_was_pressed != m_worker.is_pressed())
+        note_pressure(state.busy_for);
+}
+
+void call_entry::note_pressure(duration busy_for)
+{
+    m_was_pressed = !m_was_pressed;
+    m_board.decisions.note(
+        m_was_pressed ? "processor_pressed" : "processor_relieved",
+        m_config.own.text(),
+        m_was_pressed ? "work has been standing"
+                      : "no work was standing for a second",
+        {{"busy_ms", to_ms(busy_for)},
+         {"calls_in_flight", m_board.calls_in_flight.load()}});
+}
+
+void call_entry::note_end(const call_state& state, const owner_answer& answer)
 {
     const auto labels = "service=\"" + state.call.service + "\",end=\"" +
                         std::string(name_of(answer.end)) + "\"";
     m_board.metrics.get("tillerhall_calls_total", labels).add();
-    const auto took = to_ms(steady_clock::now() - start);
+    const auto took = to_ms(steady_clock::now() - state.received);
     if (answer.end != call_end::answered && answer.end != call_end::cancelled)
         m_local.call_failed(answer.end == call_end::not_run && !answer.reached);
     if (answer.end == call_end::answered)
@@ -437,6 +462,8 @@
                               {"end", name_of(answer.end)},
                               {"reason", answer.reason},
                               {"took_ms", took},
+                              {"waited_ms", to_ms(state.waited)},
+                              {"busy_ms", to_ms(state.busy_for)},
                               {"targets_reached", state.targets_reached},
                               {"owners_tried", state.tried.size()},
                               {"load", answer.told.load.value_or(-1)},
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -83,6 +83,7 @@
     , m_worker(on)
     , m_places(limits_for(1))
     , m_pool(on.io(), most_idle, own_ip)
+    , m_waits(board.metrics.histogram(wait_metric, "from=\"peer\""))
 {
 }
 
@@ -370,6 +371,7 @@
         owner_answer refused = refuse({}, "malformed_hop_fields");
         return to_hop_response(std::move(refused), {}, m_names.request_id);
     }
+    m_waits.record(exact_ms(steady_clock::now() - request.received));
     request.answer_due = request.received + call->objective - call->elapsed;
     return to_hop_response(run(request.message, *call, scope), *call,
                            m_names.request_id);
--- a/tests/integration/mesh_node.cpp
+++ b/tests/integration/mesh_node.cpp
@@ -531,3 +531,29 @@
             CHECK(system.call(host, "v", "/fields/x").status == 200);
         });
 }
+
+TEST_CASE("nodes tell how long calls waited for them to begin")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            const auto waits_of = [&](mesh_host& host, const std::string& from)
+            {
+                const auto name =
+                    "tillerhall_call_wait_ms_count{from=\"" + from + "\"} ";
+                const auto metrics = system.metrics_of(host);
+                const auto at = metrics.find(name);
+                REQUIRE(at != std::string::npos);
+                return std::stoi(metrics.substr(at + name.size()));
+            };
+            // Each host called the service that it does not have.
+            int by_peers = 0;
+            for (auto& host : system.hosts())
+            {
+                CHECK(waits_of(host, "client") >= 2);
+                by_peers += waits_of(host, "peer");
+            }
+            CHECK(by_peers >= 4);
+        });
+}
--- a/tests/integration/mesh_readers.cpp
+++ b/tests/integration/mesh_readers.cpp
@@ -23,14 +23,10 @@
     /** @return the node's own word: "rely", "follow" or "speak". */
     std::string duty_of(mesh_host& host)
     {
-        api_client client(on().io(), host.at["operators"]);
-        const auto answer =
-            client.call("GET", "/metrics", "", std::chrono::seconds(2));
-        if (!answer)
-            return "";
+        const auto metrics = metrics_of(host);
         for (const std::string duty : {"rely", "follow", "speak"})
-            if (answer->body.find("tillerhall_store_duty{duty=\"" + duty +
-                                  "\"} 1") != std::string::npos)
+            if (metrics.find("tillerhall_store_duty{duty=\"" + duty +
+                             "\"} 1") != std::string::npos)
                 return duty;
         return "";
     }
--- a/tests/support/mesh_system.hpp
+++ b/tests/support/mesh_system.hpp
@@ -127,6 +127,15 @@
         m_store.put("op", "", "config", mesh_config(version, routes));
     }
 
+    /** @return what the node tells of itself; empty if it does not answer. */
+    std::string metrics_of(mesh_host& host)
+    {
+        api_client client(m_worker.io(), host.at["operators"]);
+        const auto answer =
+            client.call("GET", "/metrics", "", std::chrono::seconds(2));
+        return answer ? answer->body : "";
+    }
+
     /** Starts every node and waits until each knows all of the targets. */
     void start()
     {
