Names and comments of the mend, read as a newcomer would

is_cancelled_now says what it returns, m_arrived what it holds, refused_as which sort of calls is meant. No decision is changed.

--- a/include/tillerhall/core/worker.hpp
+++ b/include/tillerhall/core/worker.hpp
@@ -32,10 +32,12 @@
     boost::asio::io_context& io() noexcept { return m_io; }
 
     /**
-     * @return since when what this turn found may have been there: the end of
-     * the last look for I/O before it, or when the worker woke up. A call's
-     * clock begins here. Begun when it was read, calls that had waited unread
-     * for two seconds were led as new ones, also when their clients had left.
+     * A turn of the worker looks for I/O once, handles all that is ready and
+     * then runs every fiber that is.
+     * @return when what this turn found came, at the earliest: at the look for
+     * I/O before it, or when the worker woke up. A call's clock begins here.
+     * Begun when it was read, calls that had waited unread for two seconds were
+     * led as new ones, also when their clients had left.
      */
     time_point unseen_since() const noexcept { return m_unseen_since; }
 
--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -138,7 +138,7 @@
     std::shared_ptr<tcp_stream> m_stream;
     session_host& m_host;
     boost::beast::flat_buffer m_buffer;
-    time_point m_came{}; ///< not later than what is in the buffer
+    time_point m_arrived{}; ///< of what is in the buffer, at the earliest
     std::deque<pending_ptr> m_pending;
     std::unique_ptr<boost::asio::steady_timer> m_linger_end;
     bool m_reading = false;    ///< a read is under way or its bytes are handled
--- a/include/tillerhall/http/cancel_scope.hpp
+++ b/include/tillerhall/http/cancel_scope.hpp
@@ -32,19 +32,19 @@
     bool is_cancelled() const noexcept { return m_cancelled; }
 
     /** Sets how to ask whether the client has left. */
-    void set_look(std::function<bool()> has_left)
+    void set_departure_check(std::function<bool()> has_left)
     {
         m_has_left = std::move(has_left);
     }
 
     /**
-     * A last look before the call goes on to where it cannot be taken back.
+     * For a last look before the call goes where it cannot be taken back.
      * Cancels if the client has left and nobody was told of it yet: the read
      * that tells may wait for its turn of a busy worker. 450 calls a second
-     * went on like that in an overload.
+     * went on like that in an overload, by a trace of each call.
      * @return whether the call is cancelled.
      */
-    bool check()
+    bool is_cancelled_now()
     {
         if (!m_cancelled && m_has_left && m_has_left())
             cancel();
--- a/include/tillerhall/http/whole_message.hpp
+++ b/include/tillerhall/http/whole_message.hpp
@@ -27,7 +27,7 @@
 struct received_request
 {
     whole_request message;
-    /** Not later than its head came; see `worker::unseen_since`. */
+    /** When its head came, at the earliest; see `worker::unseen_since`. */
     time_point received{};
     /** By which the answer should have arrived; set by who answers. */
     time_point answer_due = time_point::max();
--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -81,7 +81,8 @@
         unsigned refused_alike = 0; ///< by owners that expect others to, too
         bool may_have_run = false;  ///< in a try whose answer is not known
 
-        refused_work sort() const
+        /** @return the sort of calls that an owner refuses with this one. */
+        refused_work refused_as() const
         {
             return {call.work(), call.elapsed > duration::zero()};
         }
--- a/include/tillerhall/routing/refusal_memory.hpp
+++ b/include/tillerhall/routing/refusal_memory.hpp
@@ -36,7 +36,7 @@
  * Only refusals that are told while the owner's or the entry's processor is
  * pressed are remembered: what an owner has no room for is one call's place in
  * the order, so a pause for all calls of its sort refuses some that would be
- * served. On calm and on merely full days that was worth 0.04 of 0.67.
+ * served.
  *
  * By class of work, so that a booking is not refused since a read was, and
  * apart for those who come back, who are refused earlier. Pure.
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -93,7 +93,7 @@
             m_linger_end->cancel(); // nothing is left to wait for
         return m_closing ? void() : drop_all();
     }
-    m_came = m_worker.unseen_since();
+    m_arrived = m_worker.unseen_since();
     m_buffer.commit(size);
     if (!m_closing) // still reading until the fiber has seen to the bytes
         return m_worker.spawn([self = shared_from_this()]
@@ -209,8 +209,8 @@
     if (const auto outcome = read_head(parser, limits, fault);
         outcome != read_outcome::call)
         return outcome;
-    into.request.received = m_came;
-    m_came = m_worker.unseen_since(); // of what is behind it
+    into.request.received = m_arrived;
+    m_arrived = m_worker.unseen_since(); // of what is behind it
     if (const auto bad = framing_fault(parser.get().base()); !bad.empty())
     {
         fault = {400, bad};
@@ -225,7 +225,7 @@
 
 void call_session::start(const pending_ptr& call)
 {
-    call->scope.set_look([this] { return has_left(); });
+    call->scope.set_departure_check([this] { return has_left(); });
     m_worker.spawn(
         [this, self = shared_from_this(), call]
         {
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -212,7 +212,7 @@
         last.reason = "its time was over before it was read";
         return last;
     }
-    while (!scope.check())
+    while (!scope.is_cancelled_now())
     {
         const auto view = m_board.targets.get();
         const auto chosen = choose_owner(request, state, *view);
@@ -250,7 +250,7 @@
                                       const service_targets& view)
 {
     const auto now = steady_clock::now();
-    auto avoid = m_refusals.refusing(state.sort(), now);
+    auto avoid = m_refusals.refusing(state.refused_as(), now);
     const bool any_refuses = !avoid.empty();
     avoid.insert(avoid.end(), state.tried.begin(), state.tried.end());
     const auto among = [&](const std::vector<member_ptr>& owners)
@@ -264,7 +264,7 @@
     if (!chosen.owner && chosen.links_full == duration::zero())
         chosen = among(view.leaving(state.call.service));
     if (!chosen.owner && any_refuses && state.tried.empty())
-        chosen.owners_full = m_refusals.retry_after(state.sort(), now);
+        chosen.owners_full = m_refusals.retry_after(state.refused_as(), now);
     return chosen;
 }
 
@@ -310,7 +310,7 @@
 {
     const auto begin = steady_clock::now();
     m_targets.started(owner.rpc);
-    m_refusals.asked(owner.rpc, state.sort(), begin);
+    m_refusals.asked(owner.rpc, state.refused_as(), begin);
     auto answer = owner.rpc == m_config.own
                       ? m_local.run(request.message, state.call, scope)
                       : send_to_peer(request, state, owner, scope);
@@ -342,12 +342,12 @@
                               time_point now)
 {
     if (answer.reached)
-        return m_refusals.admitted(owner.rpc, state.sort());
+        return m_refusals.admitted(owner.rpc, state.refused_as());
     const bool has_no_room =
         answer.end == call_end::not_run &&
         answer.reason == name_of(admission_verdict::queue_full);
     if (has_no_room && (answer.told.is_pressed || m_worker.is_pressed()))
-        m_refusals.refused(owner.rpc, state.sort(), answer.retry_after,
+        m_refusals.refused(owner.rpc, state.refused_as(), answer.retry_after,
                            m_random.unit(), now);
 }
 
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -287,7 +287,7 @@
             m_lost();
         return refuse(call, "target_not_reached");
     }
-    if (scope.check())
+    if (scope.is_cancelled_now())
         return client_left(call);
     // Waiting for the connection may have used the rest of the time.
     if (steady_clock::now() >= call.deadline || m_targets.has_left(target.id))
--- a/tests/integration/pressed_worker.cpp
+++ b/tests/integration/pressed_worker.cpp
@@ -178,7 +178,7 @@
                 client.leave();
                 burn(milliseconds(100));
                 was_told = scope.is_cancelled();
-                was_seen = scope.check();
+                was_seen = scope.is_cancelled_now();
                 return whole_response(boost::beast::http::status::ok, 11);
             };
             client.send();
