--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -3,6 +3,7 @@
 
 #include "tillerhall/node/blackboard.hpp"
 #include "tillerhall/proxy/client_answers.hpp"
+#include "tillerhall/proxy/entry_log.hpp"
 #include "tillerhall/proxy/owner_choice.hpp"
 #include "tillerhall/proxy/target_owner.hpp"
 #include "tillerhall/routing/fleet_budget.hpp"
@@ -71,9 +72,7 @@
               boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
     {
         owner_call call;
-        time_point received{}; ///< see `received_request`
-        duration waited{};     ///< from then until its work began
-        duration busy_for{};   ///< of the worker, at that moment
+        call_begin begin;
         cancel_scope* scope = nullptr;
         const call_route* route = nullptr;
         std::vector<address> tried;
@@ -124,10 +123,6 @@
                        const cancel_scope& scope);
     bool helps_elsewhere(const call_state& state, const owner_answer& last);
     bool take_budget(const std::string& service, const owner_answer& last);
-    /** Notes how long the call waited for this node to begin with it. */
-    void note_begin(call_state& state);
-    /** Writes a line when the processor gets pressed, and when that ends. */
-    void note_pressure(duration busy_for);
     void note_end(const call_state& state, const owner_answer& answer);
 
     const entry_settings& m_config;
@@ -139,6 +134,7 @@
     owner_choice m_choice;
     unreachable m_report;
     const worker& m_worker;
+    entry_log m_log;
     random_source m_random{entropy_seed()};
     refusal_memory m_refusals;
     stream_pool m_pool;
@@ -150,8 +146,6 @@
                            boost::intrusive::constant_time_size<false>>
         m_under_way;
     bool m_ended = false;
-    bool m_was_pressed = false;
-    latency_histogram& m_waits;
 };
 
 } // namespace tillerhall
--- /dev/null
+++ b/include/tillerhall/proxy/entry_log.hpp
@@ -0,0 +1,56 @@
+/** @file What an entry counts and logs of its calls. */
+#pragma once
+
+#include "tillerhall/core/address.hpp"
+#include "tillerhall/core/worker.hpp"
+#include "tillerhall/node/blackboard.hpp"
+#include "tillerhall/proxy/owner_answer.hpp"
+
+namespace tillerhall
+{
+
+/** When a call came, and what it met. */
+struct call_begin
+{
+    time_point received{}; ///< see `received_request`
+    duration waited{};     ///< from then until its work began
+    duration busy_for{};   ///< of the worker, at that moment
+};
+
+/** How far a call got. */
+struct call_progress
+{
+    unsigned targets_reached = 0;
+    std::size_t owners_tried = 0; ///< and left for another one
+};
+
+/** Tells how calls went, and when the processor is pressed. */
+class entry_log
+{
+public:
+    entry_log(blackboard& board, const address& own, const worker& on);
+
+    /** The work of a call that came at @p received begins. */
+    call_begin begun(time_point received);
+
+    /** A call has ended; one line if it got no target's answer. */
+    void ended(const owner_call& call,
+               const call_begin& begin,
+               const call_progress& progress,
+               const owner_answer& answer);
+
+    /** A call was refused since all owners had just refused such calls. */
+    void owners_full();
+
+private:
+    /** Writes a line when the processor gets pressed, and when that ends. */
+    void note_pressure(duration busy_for);
+
+    blackboard& m_board;
+    const address& m_own;
+    const worker& m_worker;
+    latency_histogram& m_waits;
+    bool m_was_pressed = false;
+};
+
+} // namespace tillerhall
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -101,9 +101,9 @@
                [this](const member& owner) { return ask_peer(owner); })
     , m_report(std::move(report))
     , m_worker(on)
+    , m_log(board, config.own, on)
     , m_pool(on.io(), most_idle_per_peer, config.own.ip, peer_user_timeout)
     , m_shares(share_start(config.own))
-    , m_waits(board.metrics.histogram(wait_metric, "from=\"client\""))
 {
 }
 
@@ -121,8 +121,7 @@
 {
     auto& message = request.message;
     call_state state;
-    state.received = request.received;
-    note_begin(state);
+    state.begin = m_log.begun(request.received);
     state.call.request_id = std::string(message[m_names.request_id]);
     const auto& id = state.call.request_id;
     if (id.empty())
@@ -225,9 +224,7 @@
         if (chosen.owners_full > duration::zero())
         {
             last.reason = "owners_full";
-            m_board.metrics
-                .get("tillerhall_refused_total", "reason=\"owners_full\"")
-                .add();
+            m_log.owners_full();
             last.retry_after = chosen.owners_full;
         }
         if (!owner)
@@ -422,52 +419,12 @@
     return failed;
 }
 
-void call_entry::note_begin(call_state& state)
-{
-    state.busy_for = m_worker.busy_for();
-    state.waited = steady_clock::now() - state.received;
-    m_waits.record(exact_ms(state.waited));
-    if (m_was_pressed != m_worker.is_pressed())
-        note_pressure(state.busy_for);
-}
-
-void call_entry::note_pressure(duration busy_for)
-{
-    m_was_pressed = !m_was_pressed;
-    m_board.decisions.note(
-        m_was_pressed ? "processor_pressed" : "processor_relieved",
-        m_config.own.text(),
-        m_was_pressed ? "work has been standing"
-                      : "no work was standing for a second",
-        {{"busy_ms", to_ms(busy_for)},
-         {"calls_in_flight", m_board.calls_in_flight.load()}});
-}
-
 void call_entry::note_end(const call_state& state, const owner_answer& answer)
 {
-    const auto labels = "service=\"" + state.call.service + "\",end=\"" +
-                        std::string(name_of(answer.end)) + "\"";
-    m_board.metrics.get("tillerhall_calls_total", labels).add();
-    const auto took = to_ms(steady_clock::now() - state.received);
     if (answer.end != call_end::answered && answer.end != call_end::cancelled)
         m_local.call_failed(answer.end == call_end::not_run && !answer.reached);
-    if (answer.end == call_end::answered)
-        return m_board.metrics
-            .histogram("tillerhall_call_ms",
-                       "service=\"" + state.call.service + "\"")
-            .record(static_cast<double>(took));
-    m_board.call_lines.write(log_level::info, "call_failed",
-                             {{"id", state.call.request_id},
-                              {"service", state.call.service},
-                              {"end", name_of(answer.end)},
-                              {"reason", answer.reason},
-                              {"took_ms", took},
-                              {"waited_ms", to_ms(state.waited)},
-                              {"busy_ms", to_ms(state.busy_for)},
-                              {"targets_reached", state.targets_reached},
-                              {"owners_tried", state.tried.size()},
-                              {"load", answer.told.load.value_or(-1)},
-                              {"routes", m_board.call_map.get()->version()}});
+    m_log.ended(state.call, state.begin,
+                {state.targets_reached, state.tried.size()}, answer);
 }
 
 } // namespace tillerhall
--- /dev/null
+++ b/src/proxy/entry_log.cpp
@@ -0,0 +1,73 @@
+#include "tillerhall/proxy/entry_log.hpp"
+#include "tillerhall/observe/log.hpp"
+#include "tillerhall/proxy/target_owner.hpp"
+
+namespace tillerhall
+{
+
+entry_log::entry_log(blackboard& board, const address& own, const worker& on)
+    : m_board(board)
+    , m_own(own)
+    , m_worker(on)
+    , m_waits(board.metrics.histogram(wait_metric, "from=\"client\""))
+{
+}
+
+call_begin entry_log::begun(time_point received)
+{
+    const call_begin begin{.received = received,
+                           .waited = steady_clock::now() - received,
+                           .busy_for = m_worker.busy_for()};
+    m_waits.record(exact_ms(begin.waited));
+    if (m_was_pressed != m_worker.is_pressed())
+        note_pressure(begin.busy_for);
+    return begin;
+}
+
+void entry_log::note_pressure(duration busy_for)
+{
+    m_was_pressed = !m_was_pressed;
+    m_board.decisions.note(
+        m_was_pressed ? "processor_pressed" : "processor_relieved",
+        m_own.text(),
+        m_was_pressed ? "work has been standing"
+                      : "no work was standing for a second",
+        {{"busy_ms", to_ms(busy_for)},
+         {"calls_in_flight", m_board.calls_in_flight.load()}});
+}
+
+void entry_log::owners_full()
+{
+    m_board.metrics.get("tillerhall_refused_total", "reason=\"owners_full\"")
+        .add();
+}
+
+void entry_log::ended(const owner_call& call,
+                      const call_begin& begin,
+                      const call_progress& progress,
+                      const owner_answer& answer)
+{
+    const auto of_service = "service=\"" + call.service + "\"";
+    m_board.metrics
+        .get("tillerhall_calls_total",
+             of_service + ",end=\"" + std::string(name_of(answer.end)) + "\"")
+        .add();
+    const auto took = to_ms(steady_clock::now() - begin.received);
+    if (answer.end == call_end::answered)
+        return m_board.metrics.histogram("tillerhall_call_ms", of_service)
+            .record(static_cast<double>(took));
+    m_board.call_lines.write(log_level::info, "call_failed",
+                             {{"id", call.request_id},
+                              {"service", call.service},
+                              {"end", name_of(answer.end)},
+                              {"reason", answer.reason},
+                              {"took_ms", took},
+                              {"waited_ms", to_ms(begin.waited)},
+                              {"busy_ms", to_ms(begin.busy_for)},
+                              {"targets_reached", progress.targets_reached},
+                              {"owners_tried", progress.owners_tried},
+                              {"load", answer.told.load.value_or(-1)},
+                              {"routes", m_board.call_map.get()->version()}});
+}
+
+} // namespace tillerhall
