Owners tell which calls ran at a target when it ended

Cause for it: lines named a call by the id of one try, so neither the sends of one call nor what ran at a target at its end could be counted, and no line told that a target ended. Now a call has a fingerprint of what its target reads (method, host, path, query, body); an owner whose call got no answer asks once whether the target still takes connections, and if it refuses them writes target_ended with the calls that ran there. Lines of calls of unknown end carry the fingerprint and how many targets ended under the call.

Cost: nothing is digested before a call is lost; a lost answer costs one new connection, which is kept for the next call.

--- a/include/tillerhall/http/stream.hpp
+++ b/include/tillerhall/http/stream.hpp
@@ -27,6 +27,14 @@
                duration timeout,
                const std::string& from_ip = {});
 
+/** The same; @p failed tells how the connecting ended. */
+result<std::unique_ptr<tcp_stream>>
+connect_stream(boost::asio::io_context& io,
+               const address& to,
+               duration timeout,
+               const std::string& from_ip,
+               boost::system::error_code& failed);
+
 /**
  * Ends @p stream when what was sent is not acknowledged within @p limit, and
  * probes it while it is idle: a host that went away says nothing.
--- a/include/tillerhall/http/stream_pool.hpp
+++ b/include/tillerhall/http/stream_pool.hpp
@@ -35,6 +35,14 @@
     result<std::unique_ptr<tcp_stream>> take(const address& to,
                                              duration timeout);
 
+    /**
+     * Opens a new stream to @p to, whatever idle ones there are, and keeps it
+     * for another call.
+     * @return how that failed, if it did.
+     */
+    boost::system::error_code
+    probe(const address& to, duration timeout, duration usable_for);
+
     /**
      * Keeps @p stream for another call.
      * @param usable_for after that the other side may close it unseen
--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -77,6 +77,7 @@
         const call_route* route = nullptr;
         std::vector<address> tried;
         unsigned targets_reached = 0;
+        unsigned targets_ended = 0; ///< while it ran there
         unsigned refused_alike = 0; ///< by owners that expect others to, too
         bool may_have_run = false;  ///< in a try whose answer is not known
 
@@ -123,7 +124,9 @@
                        const cancel_scope& scope);
     bool helps_elsewhere(const call_state& state, const owner_answer& last);
     bool take_budget(const std::string& service, const owner_answer& last);
-    void note_end(const call_state& state, const owner_answer& answer);
+    void note_end(const call_state& state,
+                  const whole_request& request,
+                  const owner_answer& answer);
 
     const entry_settings& m_config;
     const wire_names& m_names;
--- a/include/tillerhall/proxy/entry_log.hpp
+++ b/include/tillerhall/proxy/entry_log.hpp
@@ -22,6 +22,8 @@
 {
     unsigned targets_reached = 0;
     std::size_t owners_tried = 0; ///< and left for another one
+    unsigned targets_ended = 0;   ///< while it ran there
+    std::string call;             ///< its fingerprint, if its end is unknown
 };
 
 /** Tells how calls went, and when the processor is pressed. */
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -65,6 +65,7 @@
     std::string reason;                     ///< why, unless answered
     bool reached = false; ///< the target has, or may have, seen the call
     bool elsewhere_alike = false; ///< other targets would refuse it as well
+    bool target_ended = false;    ///< while the call ran there
     duration retry_after{};       ///< of a refusal
     owner_word told;
 };
--- a/include/tillerhall/proxy/run_register.hpp
+++ b/include/tillerhall/proxy/run_register.hpp
@@ -1,12 +1,14 @@
-/** @file The runs under way at a target, to tell the calls that they make. */
+/** @file The runs under way at a target: which they are, what they call. */
 #pragma once
 
+#include "tillerhall/http/whole_message.hpp"
 #include "tillerhall/routing/work_class.hpp"
 
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace tillerhall
 {
@@ -18,14 +20,25 @@
  */
 class run_register
 {
+    struct entry
+    {
+        work_class work;
+        const whole_request* request;
+    };
+    using run_map = std::multimap<std::string, entry, std::less<>>;
+
 public:
     /** Registers a run for as long as it lives. */
     class run
     {
     public:
-        run(run_register& in, std::string id, const work_class& work)
+        /** @param request outlives the run */
+        run(run_register& in,
+            std::string id,
+            const work_class& work,
+            const whole_request& request)
             : m_in(in)
-            , m_at(in.m_runs.emplace(std::move(id), work))
+            , m_at(in.m_runs.emplace(std::move(id), entry{work, &request}))
         {
         }
         ~run() { m_in.m_runs.erase(m_at); }
@@ -35,17 +48,20 @@
 
     private:
         run_register& m_in;
-        std::multimap<std::string, work_class, std::less<>>::iterator m_at;
+        run_map::iterator m_at;
     };
 
     /** @return the work of the run that made the call @p id, if one did. */
     std::optional<work_class> maker_of(std::string_view id);
 
+    /** @return the requests that run now. */
+    std::vector<const whole_request*> under_way() const;
+
     /** @return whether an id has ever told of a run here. */
     bool ids_tell() const noexcept { return m_ids_tell; }
 
 private:
-    std::multimap<std::string, work_class, std::less<>> m_runs;
+    run_map m_runs;
     bool m_ids_tell = false;
 };
 
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -97,6 +97,13 @@
                       const owner_call& call,
                       const target_report& target,
                       cancel_scope& scope);
+    /**
+     * Asks after a call got no answer: a target that lost one connection takes
+     * another, one whose process ended refuses it. @return whether it ended
+     */
+    bool has_ended(const target_report& target);
+    /** Tells which calls ran at the target when it ended. */
+    void note_end(const target_report& target);
     owner_answer judge(const owner_call& call, exchange_result result) const;
     whole_request onward(const whole_request& request,
                          const owner_call& call,
@@ -117,6 +124,7 @@
     byte_backlog m_promised; ///< by the runs under way
     const link_turns* m_link = nullptr;
     bool m_up = true;
+    time_point m_ended_at{}; ///< the target's last end without a word
     failure_shedder m_shedder;
     random_source m_random{entropy_seed()};
     latency_histogram& m_waits;
--- a/include/tillerhall/proxy/wire_names.hpp
+++ b/include/tillerhall/proxy/wire_names.hpp
@@ -50,6 +50,7 @@
 inline constexpr const char* link_backlog_ms = "Tillerhall-Link-Ms"; ///< if any
 inline constexpr const char* pressed = "Tillerhall-Pressed";         ///< if so
 inline constexpr const char* alike = "Tillerhall-Alike";
+inline constexpr const char* target_ended = "Tillerhall-Target-Ended";
 inline constexpr const char* reason = "Tillerhall-Reason";
 inline constexpr const char* retry_after_ms = "Tillerhall-Retry-Ms";
 } // namespace hop_field
--- a/src/http/stream.cpp
+++ b/src/http/stream.cpp
@@ -52,6 +52,16 @@
                                                    const std::string& from_ip)
 {
     boost::system::error_code failed;
+    return connect_stream(io, to, timeout, from_ip, failed);
+}
+
+result<std::unique_ptr<tcp_stream>>
+connect_stream(boost::asio::io_context& io,
+               const address& to,
+               duration timeout,
+               const std::string& from_ip,
+               boost::system::error_code& failed)
+{
     const auto ip = boost::asio::ip::make_address(to.ip, failed);
     if (failed)
         return error(error_code::invalid_argument,
--- a/src/http/stream_pool.cpp
+++ b/src/http/stream_pool.cpp
@@ -21,6 +21,16 @@
     return opened;
 }
 
+boost::system::error_code
+stream_pool::probe(const address& to, duration timeout, duration usable_for)
+{
+    boost::system::error_code failed;
+    auto opened = connect_stream(m_io, to, timeout, m_from_ip, failed);
+    if (opened)
+        give_back(to, std::move(*opened), usable_for);
+    return failed;
+}
+
 void stream_pool::give_back(const address& to,
                             std::unique_ptr<tcp_stream> stream,
                             duration usable_for)
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -1,6 +1,7 @@
 #include "tillerhall/proxy/call_entry.hpp"
 #include "tillerhall/http/call_session.hpp"
 #include "tillerhall/observe/log.hpp"
+#include "tillerhall/proxy/call_fingerprint.hpp"
 
 #include <algorithm>
 #include <array>
@@ -148,7 +149,7 @@
     --m_board.calls_in_flight;
     if (m_ended && answer.end == call_end::cancelled)
         answer.reason = "this node ended before the answer came";
-    note_end(state, answer);
+    note_end(state, message, answer);
     return m_answers.of(id, state.may_have_run, std::move(answer));
 }
 
@@ -320,6 +321,8 @@
     note_refusal(state, owner, answer, now);
     if (answer.reached)
         ++state.targets_reached;
+    if (answer.target_ended)
+        ++state.targets_ended;
     if (answer.elsewhere_alike)
         ++state.refused_alike;
     if (answer.end == call_end::answered)
@@ -419,12 +422,17 @@
     return failed;
 }
 
-void call_entry::note_end(const call_state& state, const owner_answer& answer)
+void call_entry::note_end(const call_state& state,
+                          const whole_request& request,
+                          const owner_answer& answer)
 {
     if (answer.end != call_end::answered && answer.end != call_end::cancelled)
         m_local.call_failed(answer.end == call_end::not_run && !answer.reached);
+    const bool is_unknown = answer.end == call_end::unknown;
     m_log.ended(state.call, state.begin,
-                {state.targets_reached, state.tried.size()}, answer);
+                {state.targets_reached, state.tried.size(), state.targets_ended,
+                 is_unknown ? fingerprint_of(request).text() : std::string()},
+                answer);
 }
 
 } // namespace tillerhall
--- /dev/null
+++ b/src/proxy/call_fingerprint.cpp
@@ -0,0 +1,38 @@
+#include "tillerhall/proxy/call_fingerprint.hpp"
+#include "tillerhall/core/digest.hpp"
+
+#include <boost/beast/http.hpp>
+
+namespace tillerhall
+{
+namespace
+{
+
+// 64 bits for each part: of a thousand calls that are named at once two share
+// a name once in 10^13 times.
+constexpr std::size_t part_digits = 16;
+
+std::string part(std::string_view text)
+{
+    return digest_of(text).substr(0, part_digits);
+}
+
+} // namespace
+
+std::string head_fingerprint(const whole_request& request)
+{
+    std::string text(request.method_string());
+    text += ' ';
+    text += request[boost::beast::http::field::host];
+    text += ' ';
+    text += request.target();
+    return part(text);
+}
+
+call_fingerprint fingerprint_of(const whole_request& request)
+{
+    return {head_fingerprint(request),
+            request.body().empty() ? std::string() : part(request.body())};
+}
+
+} // namespace tillerhall
--- a/src/proxy/entry_log.cpp
+++ b/src/proxy/entry_log.cpp
@@ -66,6 +66,8 @@
                               {"busy_ms", to_ms(begin.busy_for)},
                               {"targets_reached", progress.targets_reached},
                               {"owners_tried", progress.owners_tried},
+                              {"targets_ended", progress.targets_ended},
+                              {"call", progress.call},
                               {"load", answer.told.load.value_or(-1)},
                               {"routes", m_board.call_map.get()->version()}});
 }
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -23,7 +23,8 @@
     hop_field::reached,         hop_field::load,
     hop_field::run_ms,          hop_field::slots,
     hop_field::link_backlog_ms, hop_field::reason,
-    hop_field::retry_after_ms,  hop_field::alike};
+    hop_field::retry_after_ms,  hop_field::alike,
+    hop_field::target_ended};
 constexpr unsigned refusal_status = 503;
 
 template <class Number>
@@ -149,6 +150,8 @@
         response.set(hop_field::pressed, "1");
     if (answer.elsewhere_alike)
         response.set(hop_field::alike, "1");
+    if (answer.target_ended)
+        response.set(hop_field::target_ended, "1");
     if (!answer.reason.empty())
         response.set(hop_field::reason, answer.reason);
     if (answer.retry_after > duration::zero())
@@ -171,6 +174,7 @@
     }
     answer.end = static_cast<call_end>(found - end_names.begin());
     answer.elsewhere_alike = response.count(hop_field::alike) != 0;
+    answer.target_ended = response.count(hop_field::target_ended) != 0;
     answer.reason = std::string(response[hop_field::reason]);
     answer.retry_after = milliseconds(
         number_in<std::int64_t>(response[hop_field::retry_after_ms])
--- a/src/proxy/run_register.cpp
+++ b/src/proxy/run_register.cpp
@@ -13,9 +13,18 @@
         if (found == m_runs.end())
             continue;
         m_ids_tell = true;
-        return found->second;
+        return found->second.work;
     }
     return std::nullopt;
 }
 
+std::vector<const whole_request*> run_register::under_way() const
+{
+    std::vector<const whole_request*> requests;
+    requests.reserve(m_runs.size());
+    for (const auto& [id, each] : m_runs)
+        requests.push_back(each.request);
+    return requests;
+}
+
 } // namespace tillerhall
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -1,8 +1,10 @@
 #include "tillerhall/proxy/target_owner.hpp"
+#include "tillerhall/proxy/call_fingerprint.hpp"
 #include "tillerhall/routing/answer_backlog.hpp"
 
 #include <algorithm>
 #include <boost/beast/http.hpp>
+#include <boost/json.hpp>
 
 namespace tillerhall
 {
@@ -20,6 +22,9 @@
 constexpr std::chrono::seconds idle_untold(4);
 // The target closes at the time it told; what is sent later is lost.
 constexpr milliseconds idle_margin(1'000);
+// A process takes longer to start again; all runs that its end cut short are
+// told of it within this.
+constexpr milliseconds least_time_between_ends(500);
 // Calls that wait at once; the wait limit of each call binds before this.
 constexpr std::int64_t most_waiting = 512;
 constexpr std::chrono::seconds longest_wait(60);
@@ -234,7 +239,8 @@
         return refuse(call, "no_target_takes_work");
     }
     const auto begin = steady_clock::now();
-    const run_register::run running(m_runs, call.request_id, call.work());
+    const run_register::run running(m_runs, call.request_id, call.work(),
+                                    request);
     const byte_backlog::body promised(&m_promised, large_answer(call.work()));
     auto answer = send(request, call, target_report(*target), scope);
     const auto took = answer.end == call_end::answered
@@ -302,7 +308,37 @@
         m_pool.give_back(target.where, std::move(*stream),
                          duration(told.value_or(idle_untold)) - idle_margin);
     }
-    return judge(call, std::move(result));
+    const bool lost = result.end == exchange_end::unknown;
+    auto answer = judge(call, std::move(result));
+    answer.target_ended = lost && has_ended(target);
+    return answer;
+}
+
+bool target_owner::has_ended(const target_report& target)
+{
+    const auto failed = m_pool.probe(target.where, connect_timeout,
+                                     duration(idle_untold) - idle_margin);
+    if (failed != boost::asio::error::connection_refused)
+        return false;
+    const auto now = steady_clock::now();
+    if (now < m_ended_at + least_time_between_ends)
+        return true; // another run that was there has told it
+    m_ended_at = now;
+    note_end(target);
+    return true;
+}
+
+void target_owner::note_end(const target_report& target)
+{
+    m_up = false;
+    if (m_lost)
+        m_lost();
+    boost::json::array calls;
+    for (const auto* each : m_runs.under_way())
+        calls.emplace_back(fingerprint_of(*each).text());
+    m_board.decisions.note("target_ended", target.id,
+                           "it lost its calls and refuses connections",
+                           {{"calls", std::move(calls)}});
 }
 
 owner_answer target_owner::judge(const owner_call& call,
--- /dev/null
+++ b/tests/unit/call_fingerprint.cpp
@@ -0,0 +1,60 @@
+/** @file The name that all tries of a call share. */
+#include "tillerhall/proxy/call_fingerprint.hpp"
+
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+
+using namespace tillerhall;
+
+namespace
+{
+
+whole_request request_of(const std::string& path, const std::string& body = {})
+{
+    whole_request made(body.empty() ? boost::beast::http::verb::get
+                                    : boost::beast::http::verb::post,
+                       path, 11);
+    made.set("Host", "shop.example");
+    made.body() = body;
+    return made;
+}
+
+std::string name_of(const whole_request& request)
+{
+    return fingerprint_of(request).text();
+}
+
+} // namespace
+
+TEST_CASE("tries of a call share their name whatever concerns one try only")
+{
+    auto first = request_of("/a?b=1", "x");
+    auto second = first;
+    first.set("X-Request-Id", "1");
+    second.set("X-Request-Id", "2");
+    second.set("Tillerhall-Left-Ms", "120");
+    second.set("Connection", "close");
+    CHECK(name_of(first) == name_of(second));
+}
+
+TEST_CASE("calls that differ in what a target reads have other names")
+{
+    const auto call = request_of("/a?b=1", "x");
+    CHECK(name_of(call) != name_of(request_of("/a?b=2", "x")));
+    CHECK(name_of(call) != name_of(request_of("/a?b=1", "y")));
+    CHECK(name_of(call) != name_of(request_of("/a?b=1")));
+    auto elsewhere = call;
+    elsewhere.set("Host", "other.example");
+    CHECK(name_of(call) != name_of(elsewhere));
+    auto changed = call;
+    changed.method(boost::beast::http::verb::put);
+    CHECK(name_of(call) != name_of(changed));
+}
+
+TEST_CASE("the head alone tells calls without a body")
+{
+    const auto call = request_of("/a");
+    CHECK(name_of(call) == head_fingerprint(call));
+    CHECK(fingerprint_of(request_of("/a", "x")).head ==
+          head_fingerprint(request_of("/a", "y")));
+}
--- a/tests/unit/owner_answer.cpp
+++ b/tests/unit/owner_answer.cpp
@@ -160,13 +160,14 @@
 TEST_CASE("the maker of a call is told by its id while the run lives")
 {
     run_register runs;
+    const whole_request request;
     const work_class reads{2, milliseconds(200), call_kind::repeatable};
     const work_class bookings{1, milliseconds(250), call_kind::once};
     CHECK_FALSE(runs.maker_of("a.1"));
     CHECK_FALSE(runs.ids_tell());
     {
-        const run_register::run first(runs, "a", reads);
-        const run_register::run second(runs, "ab", bookings);
+        const run_register::run first(runs, "a", reads, request);
+        const run_register::run second(runs, "ab", bookings, request);
         CHECK(runs.maker_of("a.1") == reads);
         CHECK(runs.maker_of("a.1.7") == reads);
         CHECK(runs.maker_of("ab.1") == bookings);
