Failing test: a call that ends each target that runs it

Programs that tests start no longer inherit listeners of the test: a target that had ended still took connections through them, which hung.

--- a/benchmark/harness/process.cpp
+++ b/benchmark/harness/process.cpp
@@ -107,6 +107,9 @@
     posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_path.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
+    // A listener of this process that it inherits would go on taking
+    // connections, which nobody serves, after it is closed here.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     text_vector arguments(argv);
     text_vector variables(environment_with(environment));
     const int failed =
--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 #include <sstream>
+#include <utility>
 
 namespace tillerhall
 {
@@ -57,6 +58,7 @@
                                    std::string service)
     : m_worker(on)
     , m_listener(std::move(*listener::open(on, {"127.0.0.1", 0})))
+    , m_where(m_listener->local())
     , m_id(std::move(id))
     , m_service(std::move(service))
 {
@@ -75,6 +77,21 @@
 {
     m_id = std::move(id);
     m_sequence = 0;
+    if (!std::exchange(m_has_ended, false))
+        return;
+    m_listener = std::move(*listener::open(m_worker, m_where));
+    m_listener->start([this](tcp_stream& stream) { serve(stream); });
+}
+
+void reporting_target::end()
+{
+    ++m_times_ended;
+    m_has_ended = true;
+    m_listener->close();
+    // Its fiber still waits on it.
+    m_closed.push_back(std::move(m_listener));
+    for (auto* each : m_streams)
+        reset(*each);
 }
 
 unsigned reporting_target::report(const address& to, const std::string& state)
@@ -86,6 +103,8 @@
                                   const std::string& state,
                                   std::uint64_t sequence)
 {
+    if (m_has_ended)
+        return 0;
     const boost::json::object body{
         {"service", m_service}, {"address", where().text()},
         {"zone", "d1"},         {"version", "v1"},
@@ -107,6 +126,13 @@
 }
 
 void reporting_target::serve(tcp_stream& stream)
+{
+    m_streams.insert(&stream);
+    serve_each(stream);
+    m_streams.erase(&stream);
+}
+
+void reporting_target::serve_each(tcp_stream& stream)
 {
     boost::beast::flat_buffer buffer;
     while (stream.socket().is_open())
@@ -124,7 +150,8 @@
         return read_rest(call) && send(call, 421, true);
     if (take(m_tricks.early_answers))
     {
-        m_runs.push_back({std::string(call.head()[id_field]), "", "", "", ""});
+        m_runs.push_back(
+            {std::string(call.head()[id_field]), "", "", "", "", {}});
         return send(call, 200, false) && read_rest(call);
     }
     if (!read_rest(call))
@@ -134,8 +161,15 @@
     m_runs.push_back({std::string(call.head()[id_field]),
                       std::string(call.head()["X-Caller-Service"]),
                       std::string(call.head().target()), call.prefix(),
-                      std::string(call.head()["X-Deadline-Ms"])});
+                      std::string(call.head()["X-Deadline-Ms"]),
+                      steady_clock::now()});
+    const auto start = m_times_ended;
+    const bool ends = call.head().target() == m_tricks.ends_under;
     sleep_for(m_worker.io(), m_tricks.work);
+    if (ends && !m_has_ended)
+        end();
+    if (start != m_times_ended)
+        return false;
     if (take(m_tricks.reset_answers))
     {
         reset(call.stream());
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
     unsigned shed = 0;             ///< refuses, saying that it did not run
     unsigned fail = 0;             ///< runs and answers 500
     unsigned early_answers = 0;    ///< answers before it reads the body
+    std::string ends_under;        ///< a path; its process ends when that ran
 };
 
 /** One run of a request. */
@@ -35,6 +37,7 @@
     std::string path;
     std::string body;
     std::string time_left;
+    time_point begun{};
 };
 
 /** A target that reports to a node and answers with its proof. */
@@ -43,7 +46,7 @@
 public:
     reporting_target(worker& on, std::string id, std::string service);
 
-    const address& where() const { return m_listener->local(); }
+    const address& where() const noexcept { return m_where; }
     const std::string& id() const noexcept { return m_id; }
     target_tricks& tricks() noexcept { return m_tricks; }
     const std::vector<target_run>& runs() const noexcept { return m_runs; }
@@ -51,6 +54,13 @@
     /** A new start at the same address. */
     void start_again(std::string id);
 
+    /** The process ends: every connection is reset, no new one is taken. */
+    void end();
+
+    /** @return how often it ended, and whether it has not started since. */
+    unsigned times_ended() const noexcept { return m_times_ended; }
+    bool has_ended() const noexcept { return m_has_ended; }
+
     /** Reports "ready" or "draining". @return the status, 0 for none. */
     unsigned report(const address& to, const std::string& state);
 
@@ -63,17 +73,23 @@
 
 private:
     void serve(tcp_stream& stream);
+    void serve_each(tcp_stream& stream);
     bool serve_one(inbound_call& call);
     bool send(inbound_call& call, unsigned status, bool not_run);
     static bool take(unsigned& trick);
 
     worker& m_worker;
     std::unique_ptr<listener> m_listener;
+    address m_where;
     std::string m_id;
     std::string m_service;
     target_tricks m_tricks;
     std::vector<target_run> m_runs;
     std::uint64_t m_sequence = 0;
+    std::set<tcp_stream*> m_streams; ///< open ones
+    std::vector<std::unique_ptr<listener>> m_closed;
+    unsigned m_times_ended = 0;
+    bool m_has_ended = false;
 };
 
 } // namespace tillerhall
--- a/tests/support/mesh_system.hpp
+++ b/tests/support/mesh_system.hpp
@@ -100,8 +100,12 @@
 class mesh_system
 {
 public:
-    mesh_system(worker& on, const std::vector<std::string>& services)
+    /** @param more_settings lines for the settings file of every node */
+    mesh_system(worker& on,
+                const std::vector<std::string>& services,
+                std::string more_settings = {})
         : m_worker(on)
+        , m_more_settings(std::move(more_settings))
         , m_store(keep_for_fibers(std::make_shared<store_standin>(on)))
     {
         std::string pattern =
@@ -245,10 +249,12 @@
              << "\n  address: " << host.target->where().text()
              << "\nplatform:\n  tables: " << store << "\n  objects: " << store
              << "\n  hosts: " << store
-             << "\nmesh:\n  heartbeat_ms: 150\n  suspect_ms: 1000\n";
+             << "\nmesh:\n  heartbeat_ms: 150\n  suspect_ms: 1000\n"
+             << m_more_settings;
     }
 
     worker& m_worker;
+    std::string m_more_settings;
     store_standin& m_store;
     std::string m_folder;
     std::vector<mesh_host> m_hosts;
