Ends of targets that said they leave are nobody's doing; more cases of the test

A target that left may end with calls under way. New cases: the store away, and a call that many make.

--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -335,6 +335,9 @@
 
 bool target_owner::has_ended(const target_report& target)
 {
+    const auto* used = m_targets.in_use();
+    if (used == nullptr || used->id != target.id)
+        return false; // it said that it leaves, and may end as it likes
     const auto failed = m_pool.probe(target.where, connect_timeout,
                                      duration(idle_untold) - idle_margin);
     if (failed != boost::asio::error::connection_refused)
@@ -350,10 +353,7 @@
 void target_owner::note_end(const target_report& target)
 {
     m_up = false;
-    const auto* used = m_targets.in_use();
-    // One that said it leaves ends of its own.
-    if (used != nullptr && used->id == target.id)
-        m_last_end = end_of(target);
+    m_last_end = end_of(target);
     if (m_news)
         m_news();
 }
--- a/tests/integration/ending_calls.cpp
+++ b/tests/integration/ending_calls.cpp
@@ -216,6 +216,49 @@
         });
 }
 
+TEST_CASE("the news reaches every node while the store is away")
+{
+    on_worker(
+        [](worker& on)
+        {
+            ending_system system(on);
+            system.store().faults().down = true;
+            system.tries_for(std::chrono::seconds(4));
+            CHECK(system.times_ended() <= 2);
+            system.store().faults().down = false;
+        });
+}
+
+TEST_CASE("a call that many make is not held for what another one ended")
+{
+    on_worker(
+        [](worker& on)
+        {
+            ending_system system(on);
+            const auto over = std::make_shared<bool>(false);
+            const auto ended = std::make_shared<int>(0);
+            for (std::size_t i = 0; i < system.hosts().size(); ++i)
+                on.spawn(
+                    [&system, over, ended, i]
+                    {
+                        for (int n = 0; !*over; ++n)
+                            system.call(system.hosts()[i],
+                                        "many-" + std::to_string(i) + "-" +
+                                            std::to_string(n),
+                                        "/fields/front-page");
+                        ++*ended;
+                    });
+            sleep_for(on.io(), milliseconds(500));
+            system.tries_at_once(6);
+            system.tries_for(std::chrono::seconds(3));
+            *over = true;
+            REQUIRE(system.wait_until([&] { return *ended == 6; }));
+            for (auto& each : system.hosts())
+                CHECK(system.call(each, "many-last", "/fields/front-page")
+                          .status == 200);
+        });
+}
+
 TEST_CASE("a call whose connection was lost twice is not blamed for it")
 {
     on_worker(
