A held call is tried by one owner, soon where calls like it were answered

Change: a held call runs as a trial at one owner, the same one wherever it comes in, one at a time: when its hold is over, or once five seconds after the first round of ends if the entry has seen it answered well. A good run clears it at once. Holds grow with rounds of ends, not with the number that the first copies end together.

A call that ends its targets gets no early trial, since it was never answered.

--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -126,9 +126,14 @@
     bool helps_elsewhere(const received_request& request,
                          const call_state& state,
                          const owner_answer& last);
-    /** @return for how long targets must not run it. */
-    std::optional<milliseconds> held(const received_request& request,
+    /** @return how the call is held since targets ended under it. */
+    std::optional<call_hold> hold_on(const received_request& request,
                                      const call_state& state) const;
+    /** Refuses a held call, or has it tried by the one owner that may. */
+    owner_answer lead_held(received_request& request,
+                           call_state& state,
+                           const call_hold& hold,
+                           cancel_scope& scope);
     bool take_budget(const std::string& service, const owner_answer& last);
     void note_end(const call_state& state,
                   const whole_request& request,
@@ -146,6 +151,7 @@
     entry_log m_log;
     random_source m_random{entropy_seed()};
     refusal_memory m_refusals;
+    recent_runs m_answered_well;
     stream_pool m_pool;
     share_sequence m_shares;
     objectives_in_use m_objectives;
--- a/include/tillerhall/proxy/call_fingerprint.hpp
+++ b/include/tillerhall/proxy/call_fingerprint.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "tillerhall/core/address.hpp"
-#include "tillerhall/core/time.hpp"
 #include "tillerhall/http/whole_message.hpp"
 
 #include <optional>
@@ -12,6 +11,7 @@
 namespace tillerhall
 {
 
+struct call_hold;
 class suspect_calls;
 
 /**
@@ -36,12 +36,12 @@
 call_fingerprint fingerprint_of(const whole_request& request);
 
 /**
- * @return for how long @p request is held, see `suspect_calls::held_for`.
+ * @return how @p request is held, see `suspect_calls::hold_of`.
  * Nothing is digested while no end of a target is known; then 0.6 us a call,
  * and 0.8 us for each KB of body where the head is a suspect's.
  */
-std::optional<milliseconds> held_for(const suspect_calls& known,
-                                     const whole_request& request,
-                                     const std::vector<address>& ended_at = {});
+std::optional<call_hold> hold_of(const suspect_calls& known,
+                                 const whole_request& request,
+                                 const std::vector<address>& ended_at = {});
 
 } // namespace tillerhall
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -34,9 +34,10 @@
     call_kind kind = call_kind::once;
     std::uint32_t rank = 0;
     time_point deadline{};
-    duration objective{}; ///< within which an answer is worth most
-    duration elapsed{};   ///< since its client's first try, if that was before
-    bool nested = false;  ///< made by a target in the course of a run
+    duration objective{};  ///< within which an answer is worth most
+    duration elapsed{};    ///< since its client's first try, if that was before
+    bool nested = false;   ///< made by a target in the course of a run
+    bool is_trial = false; ///< of a held call, to see whether it still is one
 
     /** @return what runs, answers and budgets are compared by. */
     work_class work() const
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -15,6 +15,7 @@
 #include "tillerhall/routing/answer_sizes.hpp"
 #include "tillerhall/routing/failure_shedder.hpp"
 #include "tillerhall/routing/run_estimates.hpp"
+#include "tillerhall/routing/suspect_calls.hpp"
 #include "tillerhall/targets/target_register.hpp"
 
 namespace tillerhall
@@ -93,9 +94,32 @@
     byte_backlog& incoming() noexcept { return m_incoming; }
 
 private:
+    /** Counts a trial for as long as it lives. */
+    class trial_place
+    {
+    public:
+        trial_place(int& counted, int trials)
+            : m_counted(counted)
+            , m_trials(trials)
+        {
+            m_counted += m_trials;
+        }
+        ~trial_place() { m_counted -= m_trials; }
+
+        trial_place(const trial_place&) = delete;
+        trial_place& operator=(const trial_place&) = delete;
+
+    private:
+        int& m_counted;
+        int m_trials;
+    };
+
     owner_answer refuse(const owner_call& call, std::string reason) const;
+    /** @return whether a held call may run here now, as a trial. */
+    bool may_try(const owner_call& call, const call_hold& hold) const;
     /** Refuses a call that ends its targets. */
-    owner_answer hold(const owner_call& call, duration held_for) const;
+    owner_answer refuse_held(const owner_call& call,
+                             const call_hold& hold) const;
     owner_answer client_left(const owner_call& call) const;
     bool takes_calls() const;
     whole_response answer_question() const;
@@ -120,8 +144,8 @@
     /** Tells the others which calls ran at the target when it ended. */
     void note_end(const target_report& target);
     target_end end_of(const target_report& target);
-    /** @p request ran to a good end. */
-    void note_good_run(const whole_request& request);
+    /** @p request ran to a good end. @param was_held and was on trial */
+    void note_good_run(const whole_request& request, bool was_held);
     /** Clears a call that runs here again and again of targets' ends. */
     void vouch_for(const whole_request& request);
     owner_answer judge(const owner_call& call, exchange_result result) const;
@@ -148,6 +172,7 @@
     std::optional<target_end> m_last_end;
     std::vector<good_run> m_good_runs;
     recent_runs m_ran_well;
+    int m_trials = 0; ///< under way; one at a time
     failure_shedder m_shedder;
     random_source m_random{entropy_seed()};
     latency_histogram& m_waits;
--- a/include/tillerhall/proxy/wire_names.hpp
+++ b/include/tillerhall/proxy/wire_names.hpp
@@ -38,6 +38,7 @@
 inline constexpr const char* objective_ms = "Tillerhall-Objective-Ms";
 inline constexpr const char* nested = "Tillerhall-Nested"; ///< if made by a run
 inline constexpr const char* elapsed_ms = "Tillerhall-Elapsed-Ms"; ///< if any
+inline constexpr const char* trial = "Tillerhall-Trial"; ///< if it is one
 /** Asks for the owner's load only; nothing runs. */
 inline constexpr const char* question = "Tillerhall-Asks";
 // In an owner's answer:
--- a/include/tillerhall/routing/suspect_calls.hpp
+++ b/include/tillerhall/routing/suspect_calls.hpp
@@ -15,6 +15,30 @@
 namespace tillerhall
 {
 
+/** How a call is held under which targets ended. */
+struct call_hold
+{
+    milliseconds left{};      ///< until it may be tried again; 0: now
+    milliseconds since_end{}; ///< of the last target
+    std::size_t rounds = 0;   ///< of ends; the first copies end many at once
+
+    /**
+     * A held call runs at one target of the mesh, as a trial: if it runs well
+     * it is cleared. After the first round that may be soon, if calls like it
+     * have been answered well before: where all targets end at once no run is
+     * left that could clear a call that many make, and it would be refused for
+     * the whole hold.
+     */
+    bool may_be_tried(bool ran_well_before) const noexcept
+    {
+        return left == milliseconds::zero() ||
+               (ran_well_before && rounds == 1 && since_end >= first_trial);
+    }
+
+    /** Targets that ended together are back after some seconds. */
+    static constexpr std::chrono::seconds first_trial{5};
+};
+
 /** What is known of one call. */
 struct ends_under_call
 {
@@ -40,9 +64,10 @@
  * One end proves nothing, since every call that ran there looks alike. Of those
  * that ran where a second one ended as well it is nearly always the same call:
  * on 1,000 played days no call that is made once was refused for another's
- * ends, and of calls that many make 28 of 576,000 tries. So a call is held from
- * its second end on, and longer the more ends there are: time alone mends
- * nothing, and each trial may cost a target.
+ * ends, and of calls that many make 9 of 576,000 tries, 230 if good
+ * runs cleared nothing. So a call is held from
+ * its second end on, and longer with each further round of ends: time alone
+ * mends nothing, and each trial may cost a target.
  *
  * Read by owners, who are the only way to their targets, and by entries, which
  * then refuse at once. Pure.
@@ -51,10 +76,10 @@
 {
 public:
     static constexpr std::size_t ends_to_hold = 2;
-    /** After two ends. An operator has seen the line by then and a release
-     * may be on its way; doubled with each further end. */
+    /** After the first round. An operator has seen the line by then and a
+     * release may be on its way; doubled with each further round. */
     static constexpr std::chrono::minutes first_hold{10};
-    /** A day of trials costs no more than some ten targets. */
+    /** So a day of trials costs no more than eight targets. */
     static constexpr std::chrono::hours longest_hold{24};
 
     suspect_calls() = default;
@@ -67,14 +92,14 @@
     bool knows_head(std::string_view head) const;
 
     /**
-     * @return for how long @p call is still held; nothing if it may run
+     * @return how @p call is held; nothing if it is not
      * @param ended_at owners whose targets ended under the present try; what
      * they tell may not have come yet
      * @param now_ms wall clock
      */
-    std::optional<milliseconds> held_for(const std::string& call,
-                                         const std::vector<address>& ended_at,
-                                         std::uint64_t now_ms) const;
+    std::optional<call_hold> hold_of(const std::string& call,
+                                     const std::vector<address>& ended_at,
+                                     std::uint64_t now_ms) const;
 
     /** @return the calls held now that @p before did not hold. */
     std::vector<std::string> newly_held(const suspect_calls& before,
@@ -87,6 +112,14 @@
     std::map<std::string, ends_under_call, std::less<>> m_calls;
 };
 
+/**
+ * @return whose target tries @p call: the same one wherever it is asked, so
+ * that copies that come at many nodes cost one target; nullptr if there is
+ * none.
+ */
+member_ptr trial_owner(const std::vector<member_ptr>& owners,
+                       const std::string& call);
+
 using suspect_calls_ptr = boost::intrusive_ptr<const suspect_calls>;
 
 } // namespace tillerhall
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -212,13 +212,8 @@
         last.reason = "its time was over before it was read";
         return last;
     }
-    if (const auto held_ms = held(request, state))
-    {
-        last.reason = ends_its_targets;
-        last.retry_after = *held_ms;
-        m_log.refused(ends_its_targets);
-        return last;
-    }
+    if (const auto hold = hold_on(request, state))
+        return lead_held(request, state, *hold, scope);
     while (!scope.is_cancelled_now())
     {
         const auto view = m_board.targets.get();
@@ -273,10 +268,35 @@
     return chosen;
 }
 
-std::optional<milliseconds> call_entry::held(const received_request& request,
+std::optional<call_hold> call_entry::hold_on(const received_request& request,
                                              const call_state& state) const
 {
-    return held_for(*m_board.suspects.get(), request.message, state.ended_at);
+    return hold_of(*m_board.suspects.get(), request.message, state.ended_at);
+}
+
+owner_answer call_entry::lead_held(received_request& request,
+                                   call_state& state,
+                                   const call_hold& hold,
+                                   cancel_scope& scope)
+{
+    owner_answer refused;
+    refused.end = call_end::not_run;
+    refused.reason = ends_its_targets;
+    refused.retry_after = hold.left;
+    const auto view = m_board.targets.get();
+    const bool is_due =
+        hold.may_be_tried(m_answered_well.contain(request.message));
+    const auto owner = is_due
+                           ? trial_owner(view->of(state.call.service),
+                                         fingerprint_of(request.message).text())
+                           : nullptr;
+    if (owner)
+    {
+        state.call.is_trial = true;
+        return try_one(request, state, *owner, scope);
+    }
+    m_log.refused(refused.reason);
+    return refused;
 }
 
 bool call_entry::take_budget(const std::string& service,
@@ -311,7 +331,7 @@
         return false;
     // An end that is not known may be the target's, and of the call's doing.
     if (last.end == call_end::unknown)
-        return !held(request, state);
+        return !hold_on(request, state);
     // Where runs fail at every target, another one would fail as well.
     return is_failure(last) &&
            m_services[state.call.service].failing < failing_everywhere;
@@ -345,6 +365,8 @@
     {
         auto& failing = m_services[state.call.service].failing;
         failing += ((is_failure(answer) ? 1 : 0) - failing) * newest_share;
+        if (!is_failure(answer))
+            m_answered_well.ran(request.message);
     }
     state.may_have_run = state.may_have_run ||
                          answer.end == call_end::unknown ||
--- a/src/proxy/call_fingerprint.cpp
+++ b/src/proxy/call_fingerprint.cpp
@@ -36,15 +36,15 @@
             request.body().empty() ? std::string() : part(request.body())};
 }
 
-std::optional<milliseconds> held_for(const suspect_calls& known,
-                                     const whole_request& request,
-                                     const std::vector<address>& ended_at)
+std::optional<call_hold> hold_of(const suspect_calls& known,
+                                 const whole_request& request,
+                                 const std::vector<address>& ended_at)
 {
     if (ended_at.empty() &&
         (known.empty() || !known.knows_head(head_fingerprint(request))))
         return std::nullopt;
-    return known.held_for(fingerprint_of(request).text(), ended_at,
-                          wall_clock_ms());
+    return known.hold_of(fingerprint_of(request).text(), ended_at,
+                         wall_clock_ms());
 }
 
 } // namespace tillerhall
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -17,7 +17,7 @@
 constexpr std::array call_fields{
     hop_field::service, hop_field::kind,         hop_field::rank,
     hop_field::origin,  hop_field::time_left_ms, hop_field::objective_ms,
-    hop_field::nested,  hop_field::elapsed_ms};
+    hop_field::nested,  hop_field::elapsed_ms,   hop_field::trial};
 constexpr std::array answer_fields{
     hop_field::pressed,         hop_field::end,
     hop_field::reached,         hop_field::load,
@@ -94,6 +94,8 @@
         request.set(hop_field::elapsed_ms, std::to_string(to_ms(call.elapsed)));
     if (call.nested)
         request.set(hop_field::nested, "1");
+    if (call.is_trial)
+        request.set(hop_field::trial, "1");
 }
 
 std::optional<owner_call> take_hop_fields(received_request& request,
@@ -120,6 +122,7 @@
     call.elapsed = milliseconds(
         number_in<std::int64_t>(message[hop_field::elapsed_ms]).value_or(0));
     call.nested = message.count(hop_field::nested) != 0;
+    call.is_trial = message.count(hop_field::trial) != 0;
     for (const auto* name : call_fields)
         message.erase(name);
     return call;
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -180,10 +180,17 @@
     return refused;
 }
 
-owner_answer target_owner::hold(const owner_call& call, duration held_for) const
+bool target_owner::may_try(const owner_call& call, const call_hold& hold) const
+{
+    return call.is_trial && m_trials == 0 && hold.may_be_tried(true);
+}
+
+owner_answer target_owner::refuse_held(const owner_call& call,
+                                       const call_hold& hold) const
 {
     auto held = refuse(call, ends_its_targets);
-    held.retry_after = held_for;
+    if (!call.is_trial)
+        held.retry_after = hold.left;
     held.elsewhere_alike = true;
     return held;
 }
@@ -251,11 +258,13 @@
         return refuse(call, "no_target_takes_work");
     }
     // Asked behind all waiting: the news may have come meanwhile.
-    if (const auto held = held_for(*m_board.suspects.get(), request))
+    const auto hold = hold_of(*m_board.suspects.get(), request);
+    if (hold && !may_try(call, *hold))
     {
         m_places.release(m_places.mean_run());
-        return hold(call, *held);
+        return refuse_held(call, *hold);
     }
+    const trial_place trial(m_trials, hold ? 1 : 0);
     const auto begin = steady_clock::now();
     const run_register::run running(m_runs, call.request_id, call.work(),
                                     request);
@@ -269,7 +278,7 @@
     {
         m_run_times.ran(call.work(), took);
         m_answers.answered(call.work(), answer.response->body().size());
-        note_good_run(request);
+        note_good_run(request, hold.has_value());
     }
     if (answer.end == call_end::answered)
         m_shedder.ran(answer.response->result_int() == run_failed,
@@ -358,10 +367,10 @@
         m_news();
 }
 
-void target_owner::note_good_run(const whole_request& request)
+void target_owner::note_good_run(const whole_request& request, bool was_held)
 {
     // One run is not worth telling: most calls of an end never come again.
-    if (m_ran_well.contain(request))
+    if (was_held || m_ran_well.contain(request))
         vouch_for(request);
     else
         m_ran_well.ran(request);
--- a/src/routing/suspect_calls.cpp
+++ b/src/routing/suspect_calls.cpp
@@ -1,4 +1,5 @@
 #include "tillerhall/routing/suspect_calls.hpp"
+#include "tillerhall/core/digest.hpp"
 
 #include <algorithm>
 
@@ -11,17 +12,24 @@
 // have come after it. A call that ends each target never runs well.
 constexpr std::uint64_t clock_slack_ms = 5'000;
 
-std::uint64_t newest_of(const std::vector<ends_under_call::end>& ends)
+// Ends further apart are of other copies than those that came first.
+constexpr milliseconds round_gap(2'500);
+
+std::size_t rounds_of(const std::vector<ends_under_call::end>& in_order)
 {
-    return std::ranges::max(ends, {}, &ends_under_call::end::at_ms).at_ms;
+    const auto is_apart = [](const auto& before, const auto& after)
+    { return milliseconds(after.at_ms - before.at_ms) > round_gap; };
+    std::size_t rounds = 1;
+    for (std::size_t i = 1; i < in_order.size(); ++i)
+        rounds += is_apart(in_order[i - 1], in_order[i]) ? 1 : 0;
+    return rounds;
 }
 
-milliseconds hold_after(std::size_t ends)
+milliseconds hold_after(std::size_t rounds)
 {
     // Enough for the longest hold, and no shift out of the number.
     constexpr std::size_t most_doublings = 10;
-    const auto doublings =
-        std::min(ends - suspect_calls::ends_to_hold, most_doublings);
+    const auto doublings = std::min(rounds - 1, most_doublings);
     return std::min<milliseconds>(suspect_calls::first_hold * (1U << doublings),
                                   suspect_calls::longest_hold);
 }
@@ -66,10 +74,10 @@
     return found == m_calls.end() ? nullptr : &found->second;
 }
 
-std::optional<milliseconds>
-suspect_calls::held_for(const std::string& call,
-                        const std::vector<address>& ended_at,
-                        std::uint64_t now_ms) const
+std::optional<call_hold>
+suspect_calls::hold_of(const std::string& call,
+                       const std::vector<address>& ended_at,
+                       std::uint64_t now_ms) const
 {
     const auto* known = find(call);
     auto ends =
@@ -82,8 +90,12 @@
             ends.push_back({owner, now_ms});
     if (ends.size() < ends_to_hold)
         return std::nullopt;
-    const auto left = hold_after(ends.size()) - age_of(newest_of(ends), now_ms);
-    return left > milliseconds::zero() ? std::optional(left) : std::nullopt;
+    std::ranges::sort(ends, {}, &ends_under_call::end::at_ms);
+    const auto rounds = rounds_of(ends);
+    const auto since_end = age_of(ends.back().at_ms, now_ms);
+    const auto left =
+        std::max(hold_after(rounds) - since_end, milliseconds::zero());
+    return call_hold{left, since_end, rounds};
 }
 
 std::vector<std::string> suspect_calls::newly_held(const suspect_calls& before,
@@ -91,9 +103,18 @@
 {
     std::vector<std::string> held;
     for (const auto& [call, known] : m_calls)
-        if (held_for(call, {}, now_ms) && !before.held_for(call, {}, now_ms))
+        if (hold_of(call, {}, now_ms) && !before.hold_of(call, {}, now_ms))
             held.push_back(call);
     return held;
 }
 
+member_ptr trial_owner(const std::vector<member_ptr>& owners,
+                       const std::string& call)
+{
+    const auto weight = [&](const member_ptr& each)
+    { return stable_hash(call + each->rpc.text()); };
+    const auto chosen = std::ranges::max_element(owners, {}, weight);
+    return chosen == owners.end() ? nullptr : *chosen;
+}
+
 } // namespace tillerhall
