Nodes that follow the table name what ended their target, and hold it

An end_register names the runs of all workers; record, view and holds are those of the other path. The line call_held is written by one function for both.

--- /dev/null
+++ b/include/tillerhall/node/end_register.hpp
@@ -0,0 +1,77 @@
+/** @file What runs at the target beside a node that follows the table. */
+#pragma once
+
+#include "tillerhall/membership/good_run.hpp"
+#include "tillerhall/membership/target_end.hpp"
+#include "tillerhall/proxy/recent_runs.hpp"
+#include "tillerhall/routing/suspect_calls.hpp"
+
+#include <boost/intrusive/list.hpp>
+#include <functional>
+#include <mutex>
+#include <optional>
+
+namespace tillerhall
+{
+
+class inbound_call;
+
+/** @return what a target reads of @p call; of a long body the first 64 KB. */
+whole_request named_part(const inbound_call& call);
+
+/** @return how @p call is held, until it may be tried again. */
+std::optional<call_hold> hold_on(const suspect_calls& known,
+                                 const inbound_call& call);
+
+/**
+ * Names the calls that run at the target when it ends, and those that run well
+ * though they were named. For all workers. Lock order: a leaf.
+ */
+class end_register
+{
+public:
+    /** Called on any worker with what the other nodes should be told. */
+    struct news
+    {
+        std::function<void(const target_end&)> ended;
+        std::function<void(const good_run&)> ran_well;
+    };
+
+    /** Registers a run for as long as it lives. */
+    class run : public boost::intrusive::list_base_hook<
+                    boost::intrusive::link_mode<boost::intrusive::normal_link>>
+    {
+    public:
+        /** @param call its body's first part was read; outlives the run */
+        run(end_register& in, const inbound_call& call);
+        ~run();
+
+        run(const run&) = delete;
+        run& operator=(const run&) = delete;
+
+        const inbound_call& call() const noexcept { return m_call; }
+
+    private:
+        end_register& m_in;
+        const inbound_call& m_call;
+    };
+
+    void set_news(news actions) { m_news = std::move(actions); }
+
+    /** @p target refuses connections after a call to it was lost. */
+    void target_ended(const std::string& target);
+
+    /** @p call ran to a good end. */
+    void ran_well(const inbound_call& call, const suspect_calls& known);
+
+private:
+    std::optional<target_end> end_of(const std::string& target);
+
+    std::mutex m_mutex;
+    boost::intrusive::list<run> m_runs;
+    recent_runs m_ran_well;
+    time_point m_ended_at{};
+    news m_news;
+};
+
+} // namespace tillerhall
--- a/include/tillerhall/node/target_controller.hpp
+++ b/include/tillerhall/node/target_controller.hpp
@@ -19,6 +19,11 @@
     /** Keeps checking. */
     void start();
 
+    /** Tells every node of an end of the target, or that a call that was named
+     * in one has run well. */
+    void tell(const target_end& end);
+    void tell(const good_run& run);
+
 private:
     void check_loop();
     target_state check_once();
--- /dev/null
+++ b/src/node/end_register.cpp
@@ -0,0 +1,97 @@
+#include "tillerhall/node/end_register.hpp"
+#include "tillerhall/http/inbound_call.hpp"
+#include "tillerhall/proxy/call_fingerprint.hpp"
+
+#include <algorithm>
+#include <boost/beast/http.hpp>
+#include <set>
+
+namespace tillerhall
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+
+// A process takes longer to start again; all runs that its end cut short are
+// told of it within this.
+constexpr milliseconds least_time_between_ends(300);
+
+} // namespace
+
+whole_request named_part(const inbound_call& call)
+{
+    const auto& head = call.head();
+    whole_request named;
+    named.method_string(head.method_string());
+    named.target(head.target());
+    named.set(http::field::host, head[http::field::host]);
+    named.body() = call.prefix();
+    return named;
+}
+
+std::optional<call_hold> hold_on(const suspect_calls& known,
+                                 const inbound_call& call)
+{
+    if (known.empty())
+        return std::nullopt;
+    const auto hold = hold_of(known, named_part(call));
+    return hold && !hold->may_be_tried(false) ? hold : std::nullopt;
+}
+
+end_register::run::run(end_register& in, const inbound_call& call)
+    : m_in(in)
+    , m_call(call)
+{
+    const std::lock_guard lock(m_in.m_mutex);
+    m_in.m_runs.push_back(*this);
+}
+
+end_register::run::~run()
+{
+    const std::lock_guard lock(m_in.m_mutex);
+    m_in.m_runs.erase(m_in.m_runs.iterator_to(*this));
+}
+
+std::optional<target_end> end_register::end_of(const std::string& target)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = steady_clock::now();
+    if (now < m_ended_at + least_time_between_ends)
+        return std::nullopt; // another run that was there has told it
+    m_ended_at = now;
+    std::set<std::string> calls;
+    for (const auto& each : m_runs)
+    {
+        const auto named = named_part(each.call());
+        if (!m_ran_well.contain(named) && calls.size() < target_end::most_calls)
+            calls.insert(fingerprint_of(named).text());
+        m_ran_well.forget(named);
+    }
+    return target_end{target, wall_clock_ms(), {calls.begin(), calls.end()}};
+}
+
+void end_register::target_ended(const std::string& target)
+{
+    const auto end = end_of(target);
+    if (end && m_news.ended)
+        m_news.ended(*end);
+}
+
+void end_register::ran_well(const inbound_call& call,
+                            const suspect_calls& known)
+{
+    const auto named = named_part(call);
+    {
+        const std::lock_guard lock(m_mutex);
+        const bool again = m_ran_well.contain(named);
+        m_ran_well.ran(named);
+        if (!again || known.empty())
+            return;
+    }
+    const auto name = fingerprint_of(named).text();
+    if (known.find(name) != nullptr && m_news.ran_well)
+        m_news.ran_well({name, wall_clock_ms()});
+}
+
+} // namespace tillerhall
--- a/src/node/entry_proxy.cpp
+++ b/src/node/entry_proxy.cpp
@@ -158,6 +158,8 @@
         result.end = relay_end::caller_gone;
         return result;
     }
+    if (const auto hold = hold_on(*m_board.suspects.get(), call))
+        return m_local.refuse_held(*hold);
     return must_be_claimed(call, context) ? pass_on_once(call, context)
                                           : try_targets(call, context);
 }
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -5,6 +5,7 @@
 #include "tillerhall/http/call_session.hpp"
 #include "tillerhall/http/listener.hpp"
 #include "tillerhall/node/self_record.hpp"
+#include "tillerhall/node/suspect_news.hpp"
 #include "tillerhall/proxy/call_entry.hpp"
 
 #include <algorithm>
@@ -178,30 +179,7 @@
     void publish_members()
     {
         board.targets.set(new service_targets(mesh->members));
-        publish_suspects();
-    }
-
-    void publish_suspects()
-    {
-        const suspect_calls_ptr next(new suspect_calls(mesh->members));
-        const auto before = board.suspects.get();
-        board.suspects.set(next);
-        if (next->empty())
-            return;
-        const auto held = next->newly_held(*before, wall_clock_ms());
-        for (const auto& call : held)
-            note_held(call, *next->find(call));
-    }
-
-    /** Who is told with one line for each call; see docs/OPERATORS.md. */
-    void note_held(const std::string& call, const ends_under_call& known)
-    {
-        boost::json::array owners;
-        for (const auto& each : known.ends)
-            owners.emplace_back(each.owner.text());
-        board.decisions.note(
-            "call_held", call, "targets ended under it",
-            {{"ends", known.ends.size()}, {"owners", std::move(owners)}});
+        publish_suspects(board, mesh->members);
     }
 
     void members_loaded()
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -8,6 +8,7 @@
 #include "tillerhall/node/operator_api.hpp"
 #include "tillerhall/node/self_record.hpp"
 #include "tillerhall/node/source_controller.hpp"
+#include "tillerhall/node/suspect_news.hpp"
 #include "tillerhall/node/target_controller.hpp"
 #include "tillerhall/store/http_platform.hpp"
 
@@ -159,15 +160,26 @@
         control->claims.add_methods();
         control->burn.add_methods();
         control->mesh.routes_changed = [this](const route_view& routes)
-        { places.set_limits(limits_for(config, routes)); };
+        {
+            places.set_limits(limits_for(config, routes));
+            publish_suspects(board, control->mesh.members);
+        };
+        ends.set_news({[this](const target_end& end) { tell(end); },
+                       [this](const good_run& run) { tell(run); }});
         for (auto& each : workers)
             compose_calls(*each);
     }
 
+    template <class News>
+    void tell(const News& news)
+    {
+        first().spawn([this, news] { control->target.tell(news); });
+    }
+
     void compose_calls(call_worker& on)
     {
         on.owner =
-            std::make_unique<owner_proxy>(config, board, places, on.runs);
+            std::make_unique<owner_proxy>(config, board, places, ends, on.runs);
         on.entry = std::make_unique<entry_proxy>(
             config, board, targets, *on.owner, on.runs, first(),
             control->claims,
@@ -238,6 +250,7 @@
     blackboard board;
     target_board targets;
     call_admission places;
+    end_register ends;
     std::vector<std::unique_ptr<call_worker>> workers;
     std::unique_ptr<listener> rpc;
     std::unique_ptr<listener> operators;
--- a/src/node/owner_proxy.cpp
+++ b/src/node/owner_proxy.cpp
@@ -1,4 +1,5 @@
 #include "tillerhall/node/owner_proxy.hpp"
+#include "tillerhall/proxy/owner_answer.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
@@ -11,6 +12,9 @@
 
 constexpr std::chrono::minutes idle_timeout(2);
 constexpr milliseconds connect_timeout(1000);
+// Targets keep idle connections for some seconds at least.
+constexpr std::chrono::seconds probe_usable(3);
+constexpr unsigned run_failed = 500;
 
 /** Idle connections a worker may keep so that the target's own bound holds
  * even while every slot has one of its own. */
@@ -33,10 +37,12 @@
 owner_proxy::owner_proxy(const settings& config,
                          blackboard& board,
                          call_admission& places,
+                         end_register& ends,
                          worker& on)
     : m_config(config)
     , m_board(board)
     , m_places(places)
+    , m_ends(ends)
     , m_worker(on)
     , m_pool(on.io(), most_idle(config), config.rpc.ip)
 {
@@ -80,6 +86,13 @@
     return refused;
 }
 
+relay_result owner_proxy::refuse_held(const call_hold& hold) const
+{
+    auto held = refuse(ends_its_targets);
+    held.retry_after = seconds_text(hold.left);
+    return held;
+}
+
 relay_result owner_proxy::run(inbound_call& call,
                               const call_context& context,
                               bool from_peer)
@@ -121,6 +134,8 @@
         return refuse("target_not_reached");
     if (from_peer && call.expects_continue() && !call.read_prefix())
         return gone;
+    if (const auto hold = hold_on(*m_board.suspects.get(), call))
+        return refuse_held(*hold);
     relay_plan plan;
     plan.upstream = upstream_kind::target;
     plan.head = onward_head(call.head(), context, deadline, now);
@@ -130,10 +145,30 @@
     plan.keep_answer = !context.claim_key.empty();
     if (from_peer)
         plan.load = m_places.load();
-    auto result = relay_call(call, **stream, plan);
+    return relay(call, plan, std::move(*stream));
+}
+
+relay_result owner_proxy::relay(inbound_call& call,
+                                const relay_plan& plan,
+                                std::unique_ptr<tcp_stream> stream)
+{
+    const end_register::run running(m_ends, call);
+    auto result = relay_call(call, *stream, plan);
     if (result.reusable)
-        m_pool.give_back(m_config.target, std::move(*stream));
+        m_pool.give_back(m_config.target, std::move(stream));
+    if (result.end == relay_end::answered && result.status < run_failed)
+        m_ends.ran_well(call, *m_board.suspects.get());
+    const bool is_lost =
+        result.end == relay_end::unknown || result.end == relay_end::cut;
+    if (is_lost && has_target_ended())
+        m_ends.target_ended(m_config.target.text());
     return result;
 }
 
+bool owner_proxy::has_target_ended()
+{
+    return m_pool.probe(m_config.target, connect_timeout, probe_usable) ==
+           boost::asio::error::connection_refused;
+}
+
 } // namespace tillerhall
--- a/src/node/target_controller.cpp
+++ b/src/node/target_controller.cpp
@@ -1,5 +1,7 @@
 #include "tillerhall/node/target_controller.hpp"
 
+#include <boost/json.hpp>
+
 namespace tillerhall
 {
 namespace
@@ -50,6 +52,25 @@
     }
 }
 
+void target_controller::tell(const target_end& end)
+{
+    m_mesh.board.decisions.note(
+        "target_ended", end.target_id,
+        "it lost its calls and refuses connections",
+        {{"calls", boost::json::value_from(end.calls)}});
+    auto changed = m_mesh.members.self();
+    add_target_ends(changed, {end});
+    m_membership.announce_self(changed);
+}
+
+void target_controller::tell(const good_run& run)
+{
+    m_mesh.board.decisions.note("call_cleared", run.call, "it runs well here");
+    auto changed = m_mesh.members.self();
+    add_good_runs(changed, {run});
+    m_membership.announce_self(changed);
+}
+
 target_state target_controller::check_once()
 {
     const auto response = m_client.call("GET", m_mesh.config.target_health_path,
