--- a/include/tillerhall/membership/member.hpp
+++ b/include/tillerhall/membership/member.hpp
@@ -6,6 +6,7 @@
 #include "tillerhall/membership/target_end.hpp"
 
 #include <boost/json/value.hpp>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -90,6 +91,16 @@
 /** The same for @p runs; the newest sixteen are kept. */
 bool add_good_runs(member& to, const std::vector<good_run>& runs);
 
+/** Ends and good runs are told for as long as a call is ever held, so that
+ * records stay small: each end may name 32 calls. */
+inline constexpr std::chrono::hours news_kept{24};
+
+/**
+ * Forgets the ends and good runs from before @p oldest_ms, wall clock.
+ * @return whether there were any.
+ */
+bool forget_news(member& of, std::uint64_t oldest_ms);
+
 /** @return whether calls may be sent to this member's target. */
 bool takes_calls(const member& checked) noexcept;
 
--- a/include/tillerhall/membership/member_list.hpp
+++ b/include/tillerhall/membership/member_list.hpp
@@ -61,8 +61,16 @@
     /** Drops records of nodes that are dead since before @p before. */
     void forget_dead(time_point before);
 
-    /** Notes when records changed, for `forget_dead`. */
-    void set_now(time_point now) noexcept { m_now = now; }
+    /**
+     * Notes when records changed, for `forget_dead`.
+     * @param oldest_news_ms wall clock; news of a record that was known is
+     * added to a newer record unless it is older
+     */
+    void set_now(time_point now, std::uint64_t oldest_news_ms = 0) noexcept
+    {
+        m_now = now;
+        m_oldest_news_ms = oldest_news_ms;
+    }
 
     /** @return the record of @p node, valid until the next change, or null. */
     const member* find(const address& node) const noexcept;
@@ -120,6 +128,7 @@
     bucket_digests m_buckets{};
     std::set<std::string> m_services;
     std::set<std::string> m_places;
+    std::uint64_t m_oldest_news_ms = 0;
     time_point m_now{};
     std::uint64_t m_changes = 0;
     mutable std::vector<keyed_member> m_ordered;
--- a/include/tillerhall/node/membership_controller.hpp
+++ b/include/tillerhall/node/membership_controller.hpp
@@ -78,6 +78,7 @@
     void sync_with(const address& peer);
     void resume();
     void bury_overdue();
+    void forget_own_news();
     /** Whether a record that is news here is passed on with heartbeats. */
     enum class spreading
     {
--- a/include/tillerhall/routing/suspect_calls.hpp
+++ b/include/tillerhall/routing/suspect_calls.hpp
@@ -64,10 +64,10 @@
  * One end proves nothing, since every call that ran there looks alike. Of those
  * that ran where a second one ended as well it is nearly always the same call:
  * on 1,000 played days no call that is made once was refused for another's
- * ends, and of calls that many make 9 of 576,000 tries, 230 if good
- * runs cleared nothing. So a call is held from
- * its second end on, and longer with each further round of ends: time alone
- * mends nothing, and each trial may cost a target.
+ * ends, and of calls that many make 9 of 576,000 tries, 230 if good runs
+ * cleared nothing. So a call is held from its second end on, and longer with
+ * each further round of ends: time alone mends nothing, and each trial may cost
+ * a target.
  *
  * Read by owners, who are the only way to their targets, and by entries, which
  * then refuse at once. Pure.
@@ -80,7 +80,7 @@
      * release may be on its way; doubled with each further round. */
     static constexpr std::chrono::minutes first_hold{10};
     /** So a day of trials costs no more than eight targets. */
-    static constexpr std::chrono::hours longest_hold{24};
+    static constexpr std::chrono::hours longest_hold = news_kept;
 
     suspect_calls() = default;
     explicit suspect_calls(const member_list& members);
--- a/src/control/report_controller.cpp
+++ b/src/control/report_controller.cpp
@@ -59,6 +59,7 @@
     if (const auto& end = m_owner.last_end())
         add_target_ends(self, {*end});
     add_good_runs(self, m_owner.good_runs());
+    forget_news(self, wall_clock_ms() - to_ms(news_kept));
     if (const auto* target = m_targets.in_use())
     {
         self.target_id = target->id;
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -196,6 +196,15 @@
     return add_newest(to.good_runs, runs, most_kept);
 }
 
+bool forget_news(member& of, std::uint64_t oldest_ms)
+{
+    const auto is_old = [&](const auto& each)
+    { return each.at_ms < oldest_ms; };
+    const auto ends = std::erase_if(of.target_ends, is_old);
+    const auto runs = std::erase_if(of.good_runs, is_old);
+    return ends + runs > 0;
+}
+
 json::value to_json(const member& sent)
 {
     json::array cells{sent.rpc.text(),
--- a/src/node/membership_controller.cpp
+++ b/src/node/membership_controller.cpp
@@ -21,6 +21,9 @@
 constexpr int pause_heartbeats = 4;
 constexpr milliseconds least_pause(2000);
 constexpr std::chrono::minutes dead_kept(10);
+// Others forget news sooner than the node that tells them, whose clock may
+// differ: they would add to its newer record what it has just forgotten.
+constexpr duration news_taken = news_kept - std::chrono::minutes(1);
 
 } // namespace
 
@@ -64,15 +67,24 @@
         const auto jitter = static_cast<std::int64_t>(
             m_mesh.random.below(static_cast<std::uint64_t>(base / 10 + 1)));
         sleep_for(m_mesh.on.io(), milliseconds(base + jitter - base / 20));
-        m_mesh.members.set_now(steady_clock::now());
+        m_mesh.members.set_now(steady_clock::now(),
+                               wall_clock_ms() - to_ms(news_taken));
         if (m_mesh.board.control.was_paused())
             resume();
         m_mesh.board.control.tick();
         m_mesh.on.spawn([this] { send_heartbeat(); });
         bury_overdue();
+        forget_own_news();
     }
 }
 
+void membership_controller::forget_own_news()
+{
+    auto self = m_mesh.members.self();
+    if (forget_news(self, wall_clock_ms() - to_ms(news_kept)))
+        announce_self(self);
+}
+
 void membership_controller::resume()
 {
     auto& board = m_mesh.board;
@@ -323,7 +335,8 @@
                                   const char* source,
                                   spreading spread)
 {
-    m_mesh.members.set_now(steady_clock::now());
+    m_mesh.members.set_now(steady_clock::now(),
+                           wall_clock_ms() - to_ms(news_taken));
     const auto* known = m_mesh.members.find(record.rpc);
     const bool was_dead =
         known != nullptr && known->state == member_state::dead;
--- a/tests/unit/suspect_calls.cpp
+++ b/tests/unit/suspect_calls.cpp
@@ -246,6 +246,30 @@
     }
 }
 
+TEST_CASE("news is forgotten after a day, also where it comes back from others")
+{
+    constexpr std::uint64_t day_ms = 24 * 60 * minute_ms;
+    auto told = owner_at(2);
+    add_target_ends(told, {end_of({"a"}, now_ms)});
+    add_good_runs(told, {good_run{"b", now_ms + 5}});
+    member_list peer(owner_at(1));
+    peer.merge(told);
+    CHECK_FALSE(forget_news(told, now_ms));
+    CHECK(forget_news(told, now_ms + 1));
+    CHECK(told.target_ends.empty());
+    CHECK(told.good_runs.size() == 1);
+    // A younger end is taken over from the record that was known, an older
+    // one is not.
+    told.incarnation = 5;
+    peer.set_now({}, now_ms);
+    peer.merge(told);
+    CHECK(peer.find(told.rpc)->target_ends.size() == 1);
+    told.incarnation = 6;
+    peer.set_now({}, now_ms + day_ms);
+    peer.merge(told);
+    CHECK(peer.find(told.rpc)->target_ends.empty());
+}
+
 TEST_CASE("ends survive the wire; records without them are as they were")
 {
     auto sent = owner_at(2);
