--- a/include/tillerhall/proxy/recent_runs.hpp
+++ b/include/tillerhall/proxy/recent_runs.hpp
@@ -15,12 +15,12 @@
  * Keeps calls that many clients make from being blamed for a target's end:
  * such a call runs at every target at almost every moment, so it is there when
  * any of them ends. What has run well there, and did not see an end since, is
- * not named. On 1,000 played days 18,032 of 576,000 tries of such calls were
+ * not named. On 1,000 played days 18,032 of 720,000 tries of such calls were
  * refused without it, 9 with it.
  *
  * A slot for each of the last calls, the newer one kept where two fall on one:
  * 32 KB, some 40 s of a hundred runs a second. Noting a run takes 40 ns, and
- * 0.2 us for each KB of its body (a million runs in a loop, on one core).
+ * 0.2 us for each KB of its body (runs in a loop, on one core).
  */
 class recent_runs
 {
--- a/include/tillerhall/routing/suspect_calls.hpp
+++ b/include/tillerhall/routing/suspect_calls.hpp
@@ -61,13 +61,13 @@
  * service away: with four targets, 20 tries at once and then one after the
  * other for 9 s at six nodes 36 targets ended, and 4 with this view.
  *
- * One end proves nothing, since every call that ran there looks alike. Of those
- * that ran where a second one ended as well it is nearly always the same call:
- * on 1,000 played days no call that is made once was refused for another's
- * ends, and of calls that many make 9 of 576,000 tries, 230 if good runs
- * cleared nothing. So a call is held from its second end on, and longer with
- * each further round of ends: time alone mends nothing, and each trial may cost
- * a target.
+ * One end proves nothing, since every call that ran there looks alike; two are
+ * rarely another's doing. On 1,000 played days 9 of 720,000 tries of calls that
+ * many make were refused, 230 if good runs cleared nothing. Some seven tries a
+ * day, the ending call's own among them, saw two targets end and were stopped;
+ * the clients of the others would be refused if they came back. So a call is
+ * held from its second end on, and longer with each further round of ends: time
+ * alone mends nothing, and each trial may cost a target.
  *
  * Read by owners, who are the only way to their targets, and by entries, which
  * then refuse at once. Pure.
--- a/tests/unit/played_ends.cpp
+++ b/tests/unit/played_ends.cpp
@@ -243,8 +243,10 @@
     CAPTURE(ends, most_ends, calls, held, popular_held);
     // Two of its tries may be under way at once, and each may end two.
     CHECK(most_ends <= 4);
+    // Says only that first tries are let in: calls that are made once do not
+    // come back here.
     CHECK(held == 0);
-    // 9 tries of 576,000; 230 if good runs cleared nothing, 18,032 if owners
+    // 9 tries of 720,000; 230 if good runs cleared nothing, 18,032 if owners
     // named what has lately run well.
     CHECK(popular_held < 60);
 }
