--- /dev/null
+++ b/include/tillerhall/control/rollout_reporter.hpp
@@ -0,0 +1,43 @@
+/** @file Tells the deciding nodes what ran at the target beside this node. */
+#pragma once
+
+#include "tillerhall/control/rollout_decider.hpp"
+#include "tillerhall/proxy/target_owner.hpp"
+
+#include <optional>
+
+namespace tillerhall
+{
+
+/** Reports while a roll-out of this node's service runs; else it is silent.
+ * Runs on the first worker. */
+class rollout_reporter
+{
+public:
+    rollout_reporter(mesh_state& mesh,
+                     rollout_book& book,
+                     rollout_decider& decider,
+                     const target_register& targets,
+                     const target_owner& owner);
+
+    void start();
+
+private:
+    void report_loop();
+    /** @return whether a report is due, and if so by what release. */
+    bool is_due(const rollout_record& record, const target_report& target);
+    owner_report report_of(const target_report& target) const;
+    void send(const owner_report& report);
+
+    mesh_state& m_mesh;
+    rollout_book& m_book;
+    rollout_decider& m_decider;
+    const target_register& m_targets;
+    const target_owner& m_owner;
+    const std::uint64_t m_boot = wall_clock_ms();
+    std::uint64_t m_taken_told = 0;
+    std::string m_target_told;
+    unsigned m_turn = 0;
+};
+
+} // namespace tillerhall
--- a/include/tillerhall/control/route_controller.hpp
+++ b/include/tillerhall/control/route_controller.hpp
@@ -39,6 +39,12 @@
     void add_methods();
     void start();
 
+    /** Called with the rows of each answer of the store, whatever they hold. */
+    void on_rows(std::function<void(const std::vector<stored_row>&)> action)
+    {
+        m_on_rows = std::move(action);
+    }
+
     bool known() const { return m_mesh.board.call_map.get()->version() != 0; }
 
     /** @return what this node does about the store now. */
@@ -82,6 +88,7 @@
     mesh_state& m_mesh;
     row_store& m_store;
     route_source m_source;
+    std::function<void(const std::vector<stored_row>&)> m_on_rows;
     backoff m_waits;
     duty_choice m_duty;
     store_duty m_last_duty = store_duty::follow;
--- a/include/tillerhall/distribution/reader_choice.hpp
+++ b/include/tillerhall/distribution/reader_choice.hpp
@@ -13,6 +13,9 @@
  */
 std::size_t reader_rank(const member_list& members);
 
+/** @return the best reader of each failure domain, by place. */
+std::vector<address> best_readers(const member_list& members);
+
 /**
  * @return whether this node is among the @p per_domain best readers of its
  * failure domain. Lists that differ make one reader more or less, which costs
--- a/include/tillerhall/membership/member.hpp
+++ b/include/tillerhall/membership/member.hpp
@@ -56,6 +56,7 @@
     std::string service; ///< of its target
     address target;
     std::string target_id; ///< of its present start; empty if it tells none
+    std::string release;   ///< of its target's software; empty if not told
     /** Starts of its target that have left, the newest last. */
     std::vector<std::string> left_targets;
     std::uint32_t link_mbps = 0; ///< of its host's link; 0 if not told
--- a/include/tillerhall/node/blackboard.hpp
+++ b/include/tillerhall/node/blackboard.hpp
@@ -9,6 +9,7 @@
 #include "tillerhall/observe/burn_tracker.hpp"
 #include "tillerhall/observe/metrics.hpp"
 #include "tillerhall/observe/traffic.hpp"
+#include "tillerhall/rollout/rollout_view.hpp"
 #include "tillerhall/routing/call_routes.hpp"
 #include "tillerhall/routing/route_view.hpp"
 #include "tillerhall/routing/service_targets.hpp"
@@ -49,6 +50,7 @@
     published<call_routes> call_map{call_routes_ptr(new call_routes)};
     published<service_targets> targets{
         service_targets_ptr(new service_targets)};
+    published<rollout_view> rollouts{rollout_view_ptr(new rollout_view)};
     published<suspect_calls> suspects{suspect_calls_ptr(new suspect_calls)};
     std::atomic<node_phase> phase{node_phase::joining};
     pulse control;
--- a/include/tillerhall/node/mesh_node.hpp
+++ b/include/tillerhall/node/mesh_node.hpp
@@ -1,6 +1,7 @@
 /** @file A node whose calls are led by routes that it follows in a store. */
 #pragma once
 
+#include "tillerhall/control/rollout_source.hpp"
 #include "tillerhall/control/route_controller.hpp"
 #include "tillerhall/http/message.hpp"
 #include "tillerhall/node/settings.hpp"
@@ -21,6 +22,7 @@
 {
     wire_names names;
     route_source routes;
+    rollout_source rollouts;
 
     /** Opens the store, for fibers of the worker. */
     std::function<std::unique_ptr<row_store>(worker&, const settings&)>
--- a/include/tillerhall/node/mesh_state.hpp
+++ b/include/tillerhall/node/mesh_state.hpp
@@ -45,6 +45,10 @@
     std::function<void(const route_view&)> routes_changed;
     /** Called with the version of the routes that a peer told of. */
     std::function<void(std::uint64_t, const address&)> routes_heard;
+    /** Asked for the roll-outs that heartbeats and joins tell of. */
+    std::function<std::vector<rollout_record>()> rollouts_told;
+    /** Called with the roll-outs that a peer told of. */
+    std::function<void(const std::vector<rollout_record>&)> rollouts_heard;
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/node/messages.hpp
+++ b/include/tillerhall/node/messages.hpp
@@ -4,6 +4,7 @@
 #include "tillerhall/distribution/key_range.hpp"
 #include "tillerhall/distribution/table_update.hpp"
 #include "tillerhall/membership/member_list.hpp"
+#include "tillerhall/rollout/rollout_record.hpp"
 
 #include <boost/json/object.hpp>
 #include <map>
@@ -28,6 +29,8 @@
 inline constexpr const char* watch = "watch";
 inline constexpr const char* routes = "routes";
 inline constexpr const char* routes_word = "word";
+inline constexpr const char* rollouts = "rollouts";
+inline constexpr const char* owner_report = "runs";
 } // namespace method
 
 /** A heartbeat and its answer: where the sender stands, and news. */
@@ -42,12 +45,14 @@
     std::int64_t source_age_ms = -1;
     bool sender_unknown = false; ///< in an answer: send me your record
     std::vector<member> news;
+    std::vector<rollout_record> rollouts;
 };
 
 /** The answer to a node that joins. */
 struct join_answer
 {
     std::vector<member> members;
+    std::vector<rollout_record> rollouts;
     std::set<std::string> services;
     std::set<std::string> places;
     std::uint64_t version = 0;
@@ -71,6 +76,13 @@
     key_range range;
 };
 
+/** Roll-outs on their way to all members in a range. */
+struct rollouts_message
+{
+    std::vector<rollout_record> records;
+    key_range range;
+};
+
 /** A node that joins, and whether the one it asks shall tell the others. */
 struct join_request
 {
@@ -125,6 +137,7 @@
 boost::json::object to_json(const join_answer& sent);
 boost::json::object to_json(const sync_answer& sent);
 boost::json::object to_json(const announce_message& sent);
+boost::json::object to_json(const rollouts_message& sent);
 boost::json::object to_json(const push_message& sent);
 boost::json::object to_json(const pull_answer& sent);
 boost::json::object to_json(const watch_report& sent);
@@ -136,6 +149,7 @@
 join_answer join_answer_from_json(const boost::json::object& members);
 sync_answer sync_answer_from_json(const boost::json::object& members);
 announce_message announce_from_json(const boost::json::object& members);
+rollouts_message rollouts_message_from_json(const boost::json::object& members);
 push_message push_from_json(const boost::json::object& members);
 pull_answer pull_answer_from_json(const boost::json::object& members);
 watch_report watch_report_from_json(const boost::json::object& members);
--- a/include/tillerhall/node/settings.hpp
+++ b/include/tillerhall/node/settings.hpp
@@ -63,6 +63,9 @@
 
     std::string policy = "two_choices";
 
+    /** See `rollout_plan`; a tenth is the users' bound. */
+    double exposure_share = 0.1;
+
     /** By service; a service without one has the default. */
     std::map<std::string, objective> objectives;
 
--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -6,6 +6,7 @@
 #include "tillerhall/proxy/entry_log.hpp"
 #include "tillerhall/proxy/owner_choice.hpp"
 #include "tillerhall/proxy/target_owner.hpp"
+#include "tillerhall/rollout/exposure_tickets.hpp"
 #include "tillerhall/routing/fleet_budget.hpp"
 #include "tillerhall/routing/objectives_in_use.hpp"
 #include "tillerhall/routing/refusal_memory.hpp"
@@ -64,6 +65,7 @@
     {
         fleet_budget budget;
         double failing = 0; ///< decaying share of runs that ended in failure
+        exposure_tickets tickets; ///< to a release that is not proved
     };
 
     /** One call and what became of it so far. */
@@ -80,6 +82,7 @@
         std::vector<address> ended_at; ///< whose targets ended meanwhile
         unsigned refused_alike = 0;    ///< by owners that expect others to, too
         bool may_have_run = false;     ///< in a try whose answer is not known
+        bool on_trial = false; ///< the present try is at a release on trial
 
         /** @return the sort of calls that an owner refuses with this one. */
         refused_work refused_as() const
@@ -102,8 +105,14 @@
     lead(received_request& request, call_state& state, cancel_scope& scope);
     /** @return whom to ask next; those in a planned stop last. */
     chosen_owner choose_owner(const received_request& request,
-                              const call_state& state,
+                              call_state& state,
                               const service_targets& view);
+    /** @return an owner of a target on trial, if this call may go there. */
+    member_ptr choose_on_trial(const received_request& request,
+                               const call_state& state,
+                               const service_targets& view);
+    /** Draws and gives back tickets by whether the try reached a target. */
+    void note_exposure(const call_state& state, bool reached);
     owner_answer try_one(received_request& request,
                          call_state& state,
                          const member& owner,
--- /dev/null
+++ b/include/tillerhall/proxy/run_evidence.hpp
@@ -0,0 +1,45 @@
+/** @file How the runs at a target ended, told to compare releases by. */
+#pragma once
+
+#include "tillerhall/proxy/owner_answer.hpp"
+#include "tillerhall/rollout/run_counts.hpp"
+
+#include <string>
+
+namespace tillerhall
+{
+
+/** How one run ended, beside its answer. */
+struct run_end
+{
+    duration took{};
+    bool is_cold = false;     ///< the target is slow from its start
+    bool lost_a_call = false; ///< a call that the run made got no answer
+};
+
+/** Counts runs of the target's present start; for fibers of one worker. */
+class run_evidence
+{
+public:
+    /** A call is taken for the target @p id; another id begins anew. */
+    void taken(const std::string& id);
+
+    /**
+     * One ended. Not counted is what says nothing of the target: it did not
+     * run, the client left, or the run failed after a call that it made had
+     * failed, which is the doing of another service.
+     */
+    void ended(const work_class& work,
+               const owner_answer& answer,
+               const run_end& how);
+
+    std::uint64_t taken_count() const noexcept { return m_taken; }
+    const counts_by_class& counts() const noexcept { return m_counts; }
+
+private:
+    std::string m_target_id;
+    std::uint64_t m_taken = 0;
+    counts_by_class m_counts;
+};
+
+} // namespace tillerhall
--- a/include/tillerhall/proxy/run_register.hpp
+++ b/include/tillerhall/proxy/run_register.hpp
@@ -24,6 +24,7 @@
     {
         work_class work;
         const whole_request* request;
+        bool lost_a_call = false;
     };
     using run_map = std::multimap<std::string, entry, std::less<>>;
 
@@ -43,6 +44,9 @@
         }
         ~run() { m_in.m_runs.erase(m_at); }
 
+        /** @return whether a call that it made got no good answer. */
+        bool lost_a_call() const { return m_at->second.lost_a_call; }
+
         run(const run&) = delete;
         run& operator=(const run&) = delete;
 
@@ -54,6 +58,9 @@
     /** @return the work of the run that made the call @p id, if one did. */
     std::optional<work_class> maker_of(std::string_view id);
 
+    /** The call @p id got no good answer: whichever run made it may fail. */
+    void call_failed(std::string_view id);
+
     /** @return the requests that run now. */
     std::vector<const whole_request*> under_way() const;
 
@@ -61,6 +68,8 @@
     bool ids_tell() const noexcept { return m_ids_tell; }
 
 private:
+    run_map::iterator find_maker(std::string_view id);
+
     run_map m_runs;
     bool m_ids_tell = false;
 };
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -10,6 +10,7 @@
 #include "tillerhall/node/call_admission.hpp"
 #include "tillerhall/proxy/owner_answer.hpp"
 #include "tillerhall/proxy/recent_runs.hpp"
+#include "tillerhall/proxy/run_evidence.hpp"
 #include "tillerhall/proxy/run_register.hpp"
 #include "tillerhall/proxy/wire_names.hpp"
 #include "tillerhall/routing/answer_sizes.hpp"
@@ -90,6 +91,9 @@
     /** Runs under way at the target. */
     run_register& runs() noexcept { return m_runs; }
 
+    /** @return how runs of the present target ended, by class of work. */
+    const run_evidence& evidence() const noexcept { return m_evidence; }
+
     /** Bodies that other nodes are sending to this one. */
     byte_backlog& incoming() noexcept { return m_incoming; }
 
@@ -115,6 +119,8 @@
     };
 
     owner_answer refuse(const owner_call& call, std::string reason) const;
+    /** @return whether @p target 's release gets no calls. */
+    bool is_closed(const target_report& target) const;
     /** @return whether a held call may run here now, as a trial. */
     bool may_try(const owner_call& call, const call_hold& hold) const;
     /** Refuses a call that ends its targets. */
@@ -163,6 +169,7 @@
     news m_news;
     byte_backlog m_incoming;
     run_register m_runs;
+    run_evidence m_evidence;
     run_estimates m_run_times;
     answer_sizes m_answers;
     byte_backlog m_promised; ///< by the runs under way
--- /dev/null
+++ b/include/tillerhall/rollout/rollout_judge.hpp
@@ -0,0 +1,112 @@
+/** @file Judges a new release by what the owners of targets report. */
+#pragma once
+
+#include "tillerhall/core/time.hpp"
+#include "tillerhall/rollout/owner_report.hpp"
+#include "tillerhall/rollout/target_trial.hpp"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tillerhall
+{
+
+/** What was seen of the new release in one stage of its roll-out. */
+struct stage_evidence
+{
+    std::uint32_t ended = 0; ///< runs at targets of the new release
+    std::uint32_t timed = 0; ///< of these, at targets that were warm
+    /** Every class of work that makes a part of the service's runs has enough.
+     */
+    bool has_every_class = false;
+};
+
+/** One service's release on trial, as one node sees it. Pure. */
+class rollout_judge
+{
+public:
+    /** Over so long the old release's runs are what new ones are compared to:
+     * an overload or a failure of something further down hits both. */
+    static constexpr std::chrono::seconds lately{4};
+    /** A host or target may be bad in any release, so one is no verdict: with
+     * a seventh of all targets failing, three of three are in 3 of 1,000. */
+    static constexpr std::size_t suspects_needed = 3;
+
+    rollout_judge(std::string settled, std::string wanted)
+        : m_settled(std::move(settled))
+        , m_wanted(std::move(wanted))
+    {
+    }
+
+    /** Takes a report; one with older counts than known is passed over.
+     * @return whether its target is suspect now and was not before. */
+    bool take(const owner_report& report, time_point now);
+
+    /** Takes what other nodes suspect. */
+    void suspect(const std::string& target_id) { m_suspects.insert(target_id); }
+
+    const std::set<std::string>& suspects() const noexcept
+    {
+        return m_suspects;
+    }
+
+    /** @return why @p target_id is suspect, with figures, if seen here. */
+    std::string reason_of(const std::string& target_id) const;
+
+    /**
+     * @param targets of the new release that live now
+     * @return whether the release is bad: enough of its targets are suspect,
+     * and more of those that ran lately than not.
+     */
+    bool is_bad(std::size_t targets, time_point now) const;
+
+    /** Evidence is counted anew, for another stage. */
+    void begin_stage();
+    stage_evidence evidence() const;
+
+    /**
+     * @param owners of targets of the old release that live
+     * @return whether each of them that reports has had no call for a moment.
+     */
+    bool is_idle(const std::vector<address>& owners, time_point now) const;
+
+    /** @return what ran at the old release lately. */
+    release_baseline baseline() const { return release_baseline(m_before); }
+
+private:
+    struct owner_state
+    {
+        owner_report last;
+        counts_by_class judged; ///< what of the counts the trial has seen
+        time_point heard{};
+        time_point busy{}; ///< when it last had or got a call
+        time_point ran{};  ///< when runs ended there last
+        target_trial trial;
+    };
+    struct span
+    {
+        time_point at{};
+        counts_by_class counts;
+    };
+
+    void forget_old(time_point now);
+    /** @return whether there is something to compare with, or never will be. */
+    bool may_judge(time_point now) const;
+    /** Takes the news of a target of the new release. */
+    void try_target(owner_state& of, time_point now);
+    void add_before(const counts_by_class& news, time_point now);
+
+    std::string m_settled;
+    std::string m_wanted;
+    std::map<std::string, owner_state> m_owners; ///< by target id
+    std::deque<span> m_spans;
+    counts_by_class m_before; ///< sum of the spans
+    counts_by_class m_stage;  ///< of the new release in this stage
+    time_point m_first{};     ///< when the first report came
+    std::set<std::string> m_suspects;
+};
+
+} // namespace tillerhall
--- /dev/null
+++ b/include/tillerhall/rollout/target_trial.hpp
@@ -0,0 +1,88 @@
+/** @file Whether one target of a new release does worse than the old ones. */
+#pragma once
+
+#include "tillerhall/rollout/run_counts.hpp"
+
+#include <map>
+#include <string>
+
+namespace tillerhall
+{
+
+/** What runs at the old release's targets were like of late, by class. */
+class release_baseline
+{
+public:
+    explicit release_baseline(counts_by_class lately)
+        : m_lately(std::move(lately))
+    {
+    }
+
+    /** @return the share of runs of @p work that fail; never quite 0. */
+    double failing(const work_class& work) const;
+
+    /** @return the last bucket of times that are usual; longer ones are slow.
+     */
+    std::size_t usual_time(const work_class& work) const;
+
+    /** @return the share of runs that take longer; never quite 0. */
+    double slow(const work_class& work) const;
+
+    /** @return whether enough ran to tell which times are usual. */
+    bool knows_times(const work_class& work) const;
+
+    const counts_by_class& counts() const noexcept { return m_lately; }
+
+private:
+    const run_counts& of(const work_class& work) const;
+
+    counts_by_class m_lately;
+};
+
+/**
+ * A sequential test of one target, by class of work: a cumulative sum of the
+ * log-likelihood ratio of "fails (is slow) that much more often than the old
+ * release does now" against "as often" (Page, Biometrika 1954), never below
+ * zero, so that what went well for long does not hide what begins late. It may
+ * be looked at after each run. A target that does as the old ones crosses
+ * the threshold from any one of its low points with e^-8, 3 in 10,000 (Wald's
+ * bound); a release is only given up when several targets have. Pure.
+ */
+class target_trial
+{
+public:
+    /** Of a hundred answers fifteen more fail than before: less than a release
+     * that is worth giving up within seconds, more than hosts differ by. */
+    static constexpr double worse_failing = 0.15;
+    /** Of a hundred answers forty more are beyond the usual time. Targets of
+     * half the speed have some fifteen more, those five times slower fifty. */
+    static constexpr double worse_slow = 0.35;
+    /** Some nine bad answers of a target that always fails cross it no sooner
+     * than three do; at 6 a play of 200 gave up a good release in a failure of
+     * something that all releases need, at 8 none did. */
+    static constexpr double threshold = 8;
+
+    /** @p news ran since the last call. */
+    void ran(const counts_by_class& news, const release_baseline& before);
+
+    bool is_suspect() const noexcept { return !m_reason.empty(); }
+
+    /** @return how much speaks against the target, up to `threshold`. */
+    double strength() const noexcept;
+
+    /** @return what it is suspected of, with its figures; empty if it is not.
+     */
+    const std::string& reason() const noexcept { return m_reason; }
+
+private:
+    struct sums
+    {
+        double failing = 0;
+        double slow = 0;
+    };
+
+    std::map<work_class, sums> m_sums;
+    std::string m_reason;
+};
+
+} // namespace tillerhall
--- a/include/tillerhall/routing/service_targets.hpp
+++ b/include/tillerhall/routing/service_targets.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tillerhall/membership/member_list.hpp"
+#include "tillerhall/rollout/rollout_view.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -12,16 +13,31 @@
 namespace tillerhall
 {
 
+/** Members that may get a bounded share of a service's calls. */
+struct trial_targets
+{
+    std::vector<member_ptr> members;
+    double share = 0; ///< of the calls that reach the service
+};
+
 /** An immutable view of one state of the member list. */
 class service_targets : public boost::intrusive_ref_counter<service_targets>
 {
 public:
     service_targets() = default;
-    explicit service_targets(const member_list& members);
 
-    /** @return the members that serve @p service; empty if none is known. */
+    /** @param rollouts what releases get; by default all are alike */
+    explicit service_targets(const member_list& members,
+                             const rollout_view& rollouts = {});
+
+    /** @return the members that serve @p service with the release that has its
+     * calls; empty if none is known. */
     const std::vector<member_ptr>& of(const std::string& service) const;
 
+    /** @return the members whose targets' release is not proved, and what they
+     * may get; none for most services at most times. */
+    const trial_targets& on_trial(const std::string& service) const;
+
     /**
      * @return the members in a planned stop whose targets still serve
      * @p service: for when no other has room.
@@ -34,11 +50,21 @@
 private:
     using by_service = std::map<std::string, std::vector<member_ptr>>;
 
+    /** Moves what may not have all calls of its service out of the lists. */
+    void part_by_release(const std::string& service,
+                         std::vector<member_ptr>& members,
+                         const rollout_view& rollouts);
+    void put_on_trial(const std::string& service,
+                      std::vector<member_ptr> newcomers,
+                      std::size_t settled_targets,
+                      const rollout_view& rollouts);
+
     static const std::vector<member_ptr>& find(const by_service& in,
                                                const std::string& service);
 
     by_service m_by_service;
     by_service m_leaving;
+    std::map<std::string, trial_targets> m_trials;
     std::size_t m_live = 1;
 };
 
--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -140,6 +140,9 @@
     /** @return whether @p owner has a free place by the last that is known. */
     bool has_room(const address& owner);
 
+    /** @return whether @p owner has told a moment ago that it is full. */
+    bool seems_full(const address& owner, time_point now);
+
     /** @return the mean bytes of the answers to @p work; 0 if not known. */
     double answer_bytes(const work_class& work);
 
--- a/src/control/report_controller.cpp
+++ b/src/control/report_controller.cpp
@@ -63,6 +63,7 @@
     if (const auto* target = m_targets.in_use())
     {
         self.target_id = target->id;
+        self.release = target->release;
         self.target = target->where;
     }
     if (self == m_mesh.members.self())
--- /dev/null
+++ b/src/control/rollout_decider.cpp
@@ -0,0 +1,227 @@
+#include "tillerhall/control/rollout_decider.hpp"
+
+#include "tillerhall/node/messages.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace tillerhall
+{
+namespace
+{
+
+namespace json = boost::json;
+
+// Verdicts come with the reports; this is for the steps, of a second or more.
+constexpr milliseconds decide_pause(200);
+// Owners report twice a second: who has heard of none does not decide.
+constexpr milliseconds reports_hold(2'000);
+
+} // namespace
+
+rollout_decider::trial::trial(const rollout_record& of, time_point now)
+    : revision(of.order.revision)
+    , stage(of.stage)
+    , stage_begun(now)
+    , judge(of.settled, of.order.release)
+{
+}
+
+rollout_decider::rollout_decider(mesh_state& mesh,
+                                 rollout_book& book,
+                                 rollout_keeper& keeper,
+                                 std::function<bool()> is_reader)
+    : m_mesh(mesh)
+    , m_book(book)
+    , m_keeper(keeper)
+    , m_is_reader(std::move(is_reader))
+{
+}
+
+void rollout_decider::add_methods()
+{
+    m_mesh.server.add(method::owner_report, traffic_kind::watch,
+                      [this](const json::object& params) -> json::object
+                      {
+                          take(owner_report_from_json(params));
+                          return {};
+                      });
+}
+
+void rollout_decider::start()
+{
+    m_mesh.on.spawn([this] { decide_loop(); });
+}
+
+rollout_decider::trial& rollout_decider::trial_of(const rollout_record& record)
+{
+    const auto now = steady_clock::now();
+    const auto& service = record.order.service;
+    auto found = m_trials.find(service);
+    if (found != m_trials.end() &&
+        found->second.revision != record.order.revision)
+    {
+        m_trials.erase(found);
+        found = m_trials.end();
+    }
+    if (found == m_trials.end())
+        found = m_trials.emplace(service, trial(record, now)).first;
+    auto& of = found->second;
+    if (of.stage != record.stage)
+    {
+        of.stage = record.stage;
+        of.stage_begun = now;
+        of.judge.begin_stage();
+    }
+    for (const auto& each : record.suspects)
+        of.judge.suspect(each);
+    return of;
+}
+
+std::vector<address>
+rollout_decider::owners_of(const std::string& service,
+                           const std::string& release) const
+{
+    std::vector<address> owners;
+    for (const auto& kept : m_mesh.members.ordered())
+        if (kept.record->service == service &&
+            kept.record->release == release && is_live(*kept.record) &&
+            kept.record->target_is == target_state::serving)
+            owners.push_back(kept.record->rpc);
+    return owners;
+}
+
+std::string rollout_decider::why_bad(const trial& of) const
+{
+    std::string why = std::to_string(of.judge.suspects().size()) +
+                      " of its targets do worse than those before";
+    for (const auto& each : of.judge.suspects())
+        if (const auto reason = of.judge.reason_of(each); !reason.empty())
+            return why + "; " + each + ": " + reason;
+    return why;
+}
+
+void rollout_decider::take(const owner_report& report)
+{
+    const auto* record = m_book.find(report.service);
+    if (record == nullptr || record->state != rollout_state::running ||
+        record->settled.empty())
+        return;
+    auto& of = trial_of(*record);
+    of.heard = steady_clock::now();
+    if (!of.judge.take(report, of.heard))
+        return;
+    m_mesh.board.decisions.note(
+        "rollout_suspect", report.service, of.judge.reason_of(report.target_id),
+        {{"target", report.target_id}, {"owner", report.owner.text()}});
+    auto next = *record;
+    next.suspects.push_back(report.target_id);
+    m_book.learn(next, "decided here");
+    decide(*m_book.find(report.service));
+}
+
+void rollout_decider::decide_loop()
+{
+    while (true)
+    {
+        sleep_for(m_mesh.on.io(), decide_pause);
+        const auto records = m_book.records(); // deciding changes them
+        for (const auto& [service, record] : records)
+            if (record.state == rollout_state::running)
+                decide(record);
+    }
+}
+
+void rollout_decider::decide(const rollout_record& record)
+{
+    if (record.state != rollout_state::running)
+        return;
+    auto& of = trial_of(record);
+    const auto now = steady_clock::now();
+    if (!m_is_reader() && now > of.heard + reports_hold)
+        return;
+    const auto wanted =
+        owners_of(record.order.service, record.order.release).size();
+    if (of.judge.is_bad(wanted, now))
+        return roll_back(record, why_bad(of));
+    move_on(record, of);
+}
+
+void rollout_decider::move_on(const rollout_record& record, trial& of)
+{
+    const auto now = steady_clock::now();
+    const auto& service = record.order.service;
+    const auto settled = owners_of(service, record.settled);
+    const auto wanted = owners_of(service, record.order.release);
+    if (record.settled == record.order.release && !wanted.empty())
+    {
+        m_keeper.complete(record); // it is there already
+        return;
+    }
+    const rollout_progress progress{.stage_begun = of.stage_begun,
+                                    .seen = of.judge.evidence(),
+                                    .settled_is_idle =
+                                        of.judge.is_idle(settled, now),
+                                    .settled_targets = settled.size(),
+                                    .wanted_targets = wanted.size()};
+    switch (next_move(record, progress, now))
+    {
+    case rollout_move::wait:
+        return;
+    case rollout_move::next_stage:
+    {
+        auto next = record;
+        next.stage =
+            static_cast<rollout_stage>(static_cast<int>(record.stage) + 1);
+        m_book.learn(next, "decided here");
+        return;
+    }
+    case rollout_move::complete:
+        m_keeper.complete(record);
+        return;
+    case rollout_move::give_up:
+        roll_back(record, wanted.empty()
+                              ? "no target of the release takes work"
+                              : "too little ran at it to know that it is good");
+    }
+}
+
+void rollout_decider::roll_back(const rollout_record& record,
+                                std::string reason)
+{
+    auto next = record;
+    next.state = rollout_state::rolled_back;
+    next.reason = std::move(reason);
+    m_keeper.keep(record.order.service);
+    m_book.learn(next, "decided here");
+}
+
+json::array rollout_decider::account() const
+{
+    json::array list;
+    for (const auto& [service, record] : m_book.records())
+    {
+        json::object told{{"service", service},
+                          {"release", record.order.release},
+                          {"before", record.settled},
+                          {"state", name_of(record.state)},
+                          {"stage", name_of(record.stage)},
+                          {"reason", record.reason},
+                          {"age_ms", to_ms(steady_clock::now() - record.begun)},
+                          {"time_ms", record.order.time.count()},
+                          {"suspects", json::value_from(record.suspects)},
+                          {"closed", json::value_from(record.closed)}};
+        if (const auto found = m_trials.find(service);
+            found != m_trials.end() &&
+            found->second.revision == record.order.revision)
+        {
+            const auto seen = found->second.judge.evidence();
+            told["runs"] = seen.ended;
+            told["timed_runs"] = seen.timed;
+        }
+        list.push_back(std::move(told));
+    }
+    return list;
+}
+
+} // namespace tillerhall
--- /dev/null
+++ b/src/control/rollout_keeper.cpp
@@ -0,0 +1,208 @@
+#include "tillerhall/control/rollout_keeper.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace tillerhall
+{
+namespace
+{
+
+// The store answers in 4 ms; a try each 0.3 s is soon enough after an outage
+// and a small part of the calls that following the routes costs.
+constexpr milliseconds keep_pause(300);
+
+rollout_record record_of(const rollout_order& order)
+{
+    rollout_record made;
+    made.order = order;
+    made.begun = steady_clock::now();
+    return made;
+}
+
+} // namespace
+
+rollout_keeper::rollout_keeper(mesh_state& mesh,
+                               rollout_book& book,
+                               row_store& store,
+                               rollout_source source,
+                               std::function<bool()> reads_for_others)
+    : m_mesh(mesh)
+    , m_book(book)
+    , m_store(store)
+    , m_source(std::move(source))
+    , m_reads_for_others(std::move(reads_for_others))
+{
+}
+
+void rollout_keeper::start()
+{
+    m_mesh.on.spawn([this] { keep_loop(); });
+}
+
+void rollout_keeper::rows_seen(const std::vector<stored_row>& rows)
+{
+    if (!m_source.decode_order)
+        return;
+    for (const auto& row : rows)
+    {
+        if (row.removed)
+            continue;
+        const auto order = m_source.decode_order(row);
+        if (!order)
+            continue;
+        if (*order)
+            order_seen(**order);
+        else if (m_refused.insert(row.name.key + row.value).second)
+            m_mesh.board.decisions.note("rollout_refused", row.name.key,
+                                        order->reason().message());
+    }
+}
+
+void rollout_keeper::order_seen(const rollout_order& order)
+{
+    auto& seen = m_orders[order.service];
+    if (order.revision <= seen)
+        return;
+    seen = order.revision;
+    const auto* known = m_book.find(order.service);
+    if (known == nullptr || known->order.revision < order.revision)
+        m_book.learn(record_of(order), "store");
+    m_kept_here.insert(order.service);
+    m_mesh.on.spawn([this, service = order.service] { keep_one(service); });
+}
+
+void rollout_keeper::keep_loop()
+{
+    while (true)
+    {
+        sleep_for(m_mesh.on.io(), keep_pause);
+        std::set<std::string> due;
+        for (const auto& [service, record] : m_book.records())
+            if (m_kept_here.contains(service) || m_reads_for_others())
+                due.insert(service);
+        for (const auto& service : due)
+            keep_one(service);
+    }
+}
+
+void rollout_keeper::keep_one(const std::string& service)
+{
+    const auto* record = m_book.find(service);
+    if (record == nullptr)
+        return;
+    const auto revision = record->order.revision;
+    const auto stored = m_stored.find(service);
+    const bool is_read =
+        stored != m_stored.end() && (stored->second.revision > revision ||
+                                     record->state != rollout_state::unread);
+    if (!is_read && !read_verdict(service))
+        return;
+    record = m_book.find(service); // reading waited, so it may be another
+    if (record == nullptr || record->order.revision != revision ||
+        record->state == rollout_state::unread)
+        return;
+    const auto& last = m_stored.at(service);
+    const bool is_told = last.revision > revision &&
+                         last.release == record->order.release &&
+                         last.state >= record->state;
+    if (!is_told && record->state != rollout_state::completed)
+        write(*record, record->state);
+}
+
+bool rollout_keeper::read_verdict(const std::string& service)
+{
+    const auto name = m_source.verdict_row(service);
+    const auto page = m_store.read(name.table, name.part, name.key);
+    if (!page)
+        return false;
+    const auto* known = m_book.find(service);
+    if (known == nullptr)
+        return false;
+    const auto row = std::ranges::find(page->rows, name, &stored_row::name);
+    stored_verdict read;
+    if (row != page->rows.end() && !row->removed)
+    {
+        const auto decoded = m_source.decode_verdict(*row);
+        if (decoded)
+            read = *decoded;
+        else
+            m_mesh.board.decisions.note("rollout_state_unreadable", service,
+                                        decoded.reason().message());
+        read.revision = row->revision;
+    }
+    m_stored[service] = read;
+    take_verdict(*known, read);
+    return true;
+}
+
+void rollout_keeper::take_verdict(const rollout_record& known,
+                                  const stored_verdict& read)
+{
+    auto next = known;
+    // A state from before the order is of an earlier one.
+    const bool is_of_order = read.revision > known.order.revision &&
+                             read.release == known.order.release;
+    next.state = std::max(known.state,
+                          is_of_order ? read.state : rollout_state::running);
+    if (is_of_order && read.begun_ms > 0)
+    {
+        const auto age = milliseconds(static_cast<std::int64_t>(
+            std::max(wall_clock_ms(), read.begun_ms) - read.begun_ms));
+        // Hosts' clocks differ by seconds: never older than the order's time.
+        next.begun = std::min(known.begun,
+                              steady_clock::now() -
+                                  std::min<duration>(age, known.order.time));
+    }
+    if (is_of_order && is_ended(read.state))
+        next.reason = "by the store";
+    m_book.learn(next, "store");
+}
+
+bool rollout_keeper::write(const rollout_record& record, rollout_state state)
+{
+    const auto& service = record.order.service;
+    const auto age = steady_clock::now() - record.begun;
+    stored_verdict verdict;
+    verdict.release = record.order.release;
+    verdict.state = state;
+    verdict.begun_ms = wall_clock_ms() - static_cast<std::uint64_t>(to_ms(age));
+    const auto expected = m_stored[service].revision;
+    const auto outcome =
+        m_store.write({m_source.verdict_row(service), expected,
+                       m_source.encode_verdict(service, verdict)});
+    if (outcome && outcome->written)
+    {
+        verdict.revision = outcome->revision;
+        m_stored[service] = verdict;
+        return true;
+    }
+    m_mesh.board.decisions.note("rollout_not_written", service,
+                                outcome ? "another node wrote it"
+                                        : outcome.reason().message(),
+                                {{"state", name_of(state)}});
+    // It may have been done, by whomever: the row tells.
+    if (outcome || outcome.reason().code() == error_code::outcome_unknown)
+        read_verdict(service);
+    return false;
+}
+
+bool rollout_keeper::complete(const rollout_record& record)
+{
+    const auto& service = record.order.service;
+    if (!m_stored.contains(service) && !read_verdict(service))
+        return false;
+    const auto* known = m_book.find(service);
+    if (known == nullptr || known->order.revision != record.order.revision ||
+        known->state != rollout_state::running)
+        return known != nullptr && known->state == rollout_state::completed;
+    auto next = *known;
+    if (!write(next, rollout_state::completed))
+        return false;
+    next.state = rollout_state::completed;
+    next.reason = "nothing runs at the release before it";
+    m_book.learn(next, "decided here");
+    return true;
+}
+
+} // namespace tillerhall
--- /dev/null
+++ b/src/control/rollout_reporter.cpp
@@ -0,0 +1,128 @@
+#include "tillerhall/control/rollout_reporter.hpp"
+
+#include "tillerhall/core/digest.hpp"
+#include "tillerhall/distribution/reader_choice.hpp"
+#include "tillerhall/node/messages.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace tillerhall
+{
+namespace
+{
+
+// At 100 runs a second of which a third fail this is some five bad answers
+// before they are known; a report is about a fifth of a call's work.
+constexpr milliseconds report_pause(150);
+// Once many new targets report, and when all wait for the last runs of the old
+// release, every second time; what that does is compared over seconds.
+constexpr unsigned later_turns = 2;
+constexpr unsigned settled_turns = 4;
+constexpr milliseconds report_timeout(400);
+// So many owners tell enough of a release that has many targets. At 2,700
+// hosts all of them would be too many reports for those who decide.
+constexpr std::size_t most_reporting = 24;
+
+/** @return whether this node's target is among the first of its release. */
+bool is_sampled(const member_list& members, const member& self)
+{
+    const auto place = [](const member& of)
+    { return stable_hash(of.target_id); };
+    const auto before = std::ranges::count_if(
+        members.ordered(),
+        [&](const keyed_member& kept)
+        {
+            const auto& each = *kept.record;
+            return takes_calls(each) && each.service == self.service &&
+                   each.release == self.release && place(each) < place(self);
+        });
+    return static_cast<std::size_t>(before) < most_reporting;
+}
+
+} // namespace
+
+rollout_reporter::rollout_reporter(mesh_state& mesh,
+                                   rollout_book& book,
+                                   rollout_decider& decider,
+                                   const target_register& targets,
+                                   const target_owner& owner)
+    : m_mesh(mesh)
+    , m_book(book)
+    , m_decider(decider)
+    , m_targets(targets)
+    , m_owner(owner)
+{
+}
+
+void rollout_reporter::start()
+{
+    m_mesh.on.spawn([this] { report_loop(); });
+}
+
+void rollout_reporter::report_loop()
+{
+    while (true)
+    {
+        sleep_for(m_mesh.on.io(), report_pause);
+        const auto* record = m_book.find(m_mesh.members.self().service);
+        const auto* target = m_targets.in_use();
+        if (record == nullptr || target == nullptr ||
+            record->state != rollout_state::running)
+            continue;
+        ++m_turn;
+        if (is_due(*record, *target))
+            send(report_of(*target));
+    }
+}
+
+bool rollout_reporter::is_due(const rollout_record& record,
+                              const target_report& target)
+{
+    const bool is_last = record.stage == rollout_stage::all;
+    const bool is_first = record.stage <= rollout_stage::loaded;
+    if (target.release == record.order.release)
+        return (is_first || m_turn % later_turns == 0) &&
+               (m_target_told != target.id ||
+                m_taken_told != m_owner.evidence().taken_count());
+    if (target.release != record.settled)
+        return false;
+    if (is_last)
+        return m_turn % later_turns == 0;
+    return m_turn % settled_turns == 0 &&
+           is_sampled(m_mesh.members, m_mesh.members.self());
+}
+
+owner_report rollout_reporter::report_of(const target_report& target) const
+{
+    owner_report report;
+    report.owner = m_mesh.members.self().rpc;
+    report.service = m_mesh.members.self().service;
+    report.boot = m_boot;
+    report.target_id = target.id;
+    report.release = target.release;
+    report.running = static_cast<std::uint32_t>(m_owner.places().in_flight());
+    report.taken = m_owner.evidence().taken_count();
+    report.counts = m_owner.evidence().counts();
+    return report;
+}
+
+void rollout_reporter::send(const owner_report& report)
+{
+    m_target_told = report.target_id;
+    m_taken_told = report.taken;
+    const auto params = to_json(report);
+    for (const auto& reader : best_readers(m_mesh.members))
+        if (reader == report.owner)
+            m_decider.take(report);
+        else
+            m_mesh.on.spawn(
+                [this, reader, params]
+                {
+                    m_mesh.pool.call({reader, traffic_kind::watch,
+                                      method::owner_report, params,
+                                      report_timeout});
+                });
+}
+
+} // namespace tillerhall
--- a/src/control/route_controller.cpp
+++ b/src/control/route_controller.cpp
@@ -189,6 +189,8 @@
 
 route_controller::outcome route_controller::take_last(const row_page& page)
 {
+    if (m_on_rows)
+        m_on_rows(page.rows);
     // A feed brings every change in its order; only the last one counts.
     const auto changes = page.rows | std::views::reverse;
     const auto last =
--- a/src/distribution/reader_choice.cpp
+++ b/src/distribution/reader_choice.cpp
@@ -2,6 +2,7 @@
 #include "tillerhall/core/digest.hpp"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace tillerhall
@@ -30,6 +31,24 @@
         std::ranges::count_if(members.ordered(), is_better));
 }
 
+std::vector<address> best_readers(const member_list& members)
+{
+    std::map<member_place, const member*> best;
+    for (const auto& kept : members.ordered())
+    {
+        const auto& each = *kept.record;
+        if (each.state != member_state::alive)
+            continue;
+        auto& known = best[each.place];
+        if (known == nullptr || weight_of(each) > weight_of(*known))
+            known = &each;
+    }
+    std::vector<address> readers;
+    for (const auto& [place, each] : best)
+        readers.push_back(each->rpc);
+    return readers;
+}
+
 bool is_reader(const member_list& members, std::size_t per_domain)
 {
     return reader_rank(members) < per_domain;
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -37,7 +37,8 @@
     left_targets,
     link_mbps,
     target_ends, ///< absent with what follows where there are none
-    good_runs
+    good_runs,
+    release
 };
 
 address with_port(const address& base, const json::value& port)
@@ -221,10 +222,13 @@
                       sent.target_id,
                       json::value_from(sent.left_targets),
                       sent.link_mbps};
-    if (sent.target_ends.empty() && sent.good_runs.empty())
+    const bool no_news = sent.target_ends.empty() && sent.good_runs.empty();
+    if (no_news && sent.release.empty())
         return cells;
     cells.push_back(list_of(sent.target_ends));
     cells.push_back(list_of(sent.good_runs));
+    if (!sent.release.empty())
+        cells.push_back(json::string(sent.release));
     return cells;
 }
 
@@ -263,6 +267,8 @@
         if (cells.size() > good_runs)
             for (const auto& each : cells[good_runs].as_array())
                 read.good_runs.push_back(good_run_from(each));
+        if (cells.size() > release)
+            read.release = json::value_to<std::string>(cells[release]);
         return read;
     }
     catch (const std::exception& failed)
--- a/src/node/membership_controller.cpp
+++ b/src/node/membership_controller.cpp
@@ -131,6 +131,8 @@
     message.members_digest = m_mesh.members.digest();
     message.source_age_ms = m_freshness.age_ms(steady_clock::now());
     message.news = m_mesh.rumors.take(m_mesh.members);
+    if (m_mesh.rollouts_told)
+        message.rollouts = m_mesh.rollouts_told();
     return message;
 }
 
@@ -225,6 +227,8 @@
     m_tables.heard_of(message.version, peer);
     if (m_mesh.routes_heard)
         m_mesh.routes_heard(message.routes_version, peer);
+    if (m_mesh.rollouts_heard && !message.rollouts.empty())
+        m_mesh.rollouts_heard(message.rollouts);
     const bool quiet = message.news.empty() && m_mesh.rumors.size() == 0;
     const bool differs = message.members_digest != m_mesh.members.digest();
     m_differences_in_row = differs && quiet ? m_differences_in_row + 1 : 0;
--- a/src/node/membership_joining.cpp
+++ b/src/node/membership_joining.cpp
@@ -108,6 +108,9 @@
     for (const auto& [peer, answer] : answers)
     {
         m_mesh.members.learn_names(answer.services, answer.places);
+        // First, so that no member is met without what its release may get.
+        if (m_mesh.rollouts_heard && !answer.rollouts.empty())
+            m_mesh.rollouts_heard(answer.rollouts);
         merge_all(answer.members, "join", spreading::none);
         m_freshness.heard(answer.source_age_ms, steady_clock::now());
         m_tables.must_reach(std::max(answer.version, answer.floor));
@@ -127,6 +130,8 @@
     answer.members = m_mesh.members.all();
     answer.services = m_mesh.members.services();
     answer.places = m_mesh.members.places();
+    if (m_mesh.rollouts_told)
+        answer.rollouts = m_mesh.rollouts_told();
     answer.version = m_tables.current()->version();
     answer.source_age_ms = m_freshness.age_ms(steady_clock::now());
     if (const auto seen = m_versions_seen.find(joiner);
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -1,5 +1,6 @@
 #include "tillerhall/node/mesh_node.hpp"
 #include "tillerhall/control/report_controller.hpp"
+#include "tillerhall/control/rollout_reporter.hpp"
 #include "tillerhall/core/await.hpp"
 #include "tillerhall/http/api_server.hpp"
 #include "tillerhall/http/call_session.hpp"
@@ -113,6 +114,7 @@
             entry_config, adapter.names, board, board_targets, *owner, on,
             [this](const address& lost)
             { on.spawn([this, lost] { membership->connect_failed(lost); }); });
+        compose_rollouts();
         membership->add_methods();
         routes->add_methods();
         owner->set_news([this] { reporter->tell_news(); });
@@ -121,6 +123,24 @@
         compose_sessions();
     }
 
+    void compose_rollouts()
+    {
+        const auto is_reader = [this]
+        { return routes->duty() == store_duty::speak; };
+        book = std::make_unique<rollout_book>(*mesh);
+        keeper = std::make_unique<rollout_keeper>(*mesh, *book, *store,
+                                                  adapter.rollouts, is_reader);
+        decider =
+            std::make_unique<rollout_decider>(*mesh, *book, *keeper, is_reader);
+        run_reporter = std::make_unique<rollout_reporter>(
+            *mesh, *book, *decider, targets, *owner);
+        book->add_methods();
+        decider->add_methods();
+        book->on_change([this] { publish_targets(); });
+        routes->on_rows([this](const std::vector<stored_row>& rows)
+                        { keeper->rows_seen(rows); });
+    }
+
     void compose_sessions()
     {
         const auto ending = [this] { return is_stopping(board.phase); };
@@ -171,14 +191,24 @@
         routes->start();
         directory->start([this] { members_loaded(); });
         membership->start();
+        keeper->start();
+        decider->start();
+        run_reporter->start();
         on.spawn([this] { become_ready(); });
         on.spawn([this] { wait_for_stop(); });
         on.spawn([this] { wait_for_reload(); });
     }
 
+    void publish_targets()
+    {
+        board.targets.set(
+            new service_targets(mesh->members, *board.rollouts.get()));
+    }
+
     void publish_members()
     {
-        board.targets.set(new service_targets(mesh->members));
+        book->note_members();
+        publish_targets();
         publish_suspects(board, mesh->members);
     }
 
@@ -221,6 +251,8 @@
             response.body = board.metrics.text();
             return response;
         }
+        if (request.method == "GET" && request.path == "/rollouts")
+            return respond(200, {{"rollouts", decider->account()}});
         const auto report = adapter.read_report(request);
         if (!report)
             return respond(404, {{"detail", "no such path"}});
@@ -339,6 +371,10 @@
     std::unique_ptr<directory_controller> directory;
     std::unique_ptr<target_owner> owner;
     std::unique_ptr<report_controller> reporter;
+    std::unique_ptr<rollout_book> book;
+    std::unique_ptr<rollout_keeper> keeper;
+    std::unique_ptr<rollout_decider> decider;
+    std::unique_ptr<rollout_reporter> run_reporter;
     std::unique_ptr<call_entry> entry;
 };
 
--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -37,6 +37,27 @@
     return records;
 }
 
+/** Leaves out what is not there: most nodes know of no roll-out. */
+void put_rollouts(json::object& into, const std::vector<rollout_record>& sent)
+{
+    if (sent.empty())
+        return;
+    json::array list;
+    for (const auto& each : sent)
+        list.push_back(to_json(each, steady_clock::now()));
+    into["o"] = std::move(list);
+}
+
+std::vector<rollout_record> rollouts_from(const json::object& members)
+{
+    std::vector<rollout_record> records;
+    if (const auto* list = members.if_contains("o"))
+        for (const auto& each : list->as_array())
+            records.push_back(
+                rollout_record_from_json(each, steady_clock::now()));
+    return records;
+}
+
 template <class T>
 T value_or(const json::object& members, const char* name, T otherwise)
 {
@@ -114,6 +135,7 @@
         members["u"] = 1;
     if (!sent.news.empty())
         members["r"] = records_to_json(sent.news);
+    put_rollouts(members, sent.rollouts);
     return members;
 }
 
@@ -128,6 +150,7 @@
     read.asks_identity = members.contains("q");
     read.sender_unknown = members.contains("u");
     read.news = records_from(members.if_contains("r"));
+    read.rollouts = rollouts_from(members);
     return read;
 }
 
@@ -146,12 +169,14 @@
 
 json::object to_json(const join_answer& sent)
 {
-    return {{"r", records_to_json(sent.members)},
-            {"s", json::value_from(sent.services)},
-            {"p", json::value_from(sent.places)},
-            {"v", sent.version},
-            {"l", sent.floor},
-            {"a", sent.source_age_ms}};
+    json::object members{{"r", records_to_json(sent.members)},
+                         {"s", json::value_from(sent.services)},
+                         {"p", json::value_from(sent.places)},
+                         {"v", sent.version},
+                         {"l", sent.floor},
+                         {"a", sent.source_age_ms}};
+    put_rollouts(members, sent.rollouts);
+    return members;
 }
 
 join_answer join_answer_from_json(const json::object& members)
@@ -163,6 +188,7 @@
     read.version = json::value_to<std::uint64_t>(members.at("v"));
     read.floor = json::value_to<std::uint64_t>(members.at("l"));
     read.source_age_ms = json::value_to<std::int64_t>(members.at("a"));
+    read.rollouts = rollouts_from(members);
     return read;
 }
 
@@ -199,6 +225,19 @@
     return {records_from(&members.at("r")), range_from_json(members)};
 }
 
+json::object to_json(const rollouts_message& sent)
+{
+    json::object members;
+    put_rollouts(members, sent.records);
+    put_range(members, sent.range);
+    return members;
+}
+
+rollouts_message rollouts_message_from_json(const json::object& members)
+{
+    return {rollouts_from(members), range_from_json(members)};
+}
+
 json::object to_json(const push_message& sent)
 {
     auto members = to_json(sent.update);
--- a/src/node/setting_table.cpp
+++ b/src/node/setting_table.cpp
@@ -89,6 +89,9 @@
             optional, 1, 1'000, "most reads a second of one node"},
     setting{"routing.policy", &settings::policy, optional, 0, 0,
             "how a target is chosen"},
+    setting{"rollout.exposure_share", &settings::exposure_share, optional, 0, 1,
+            "greatest share of a service's calls that a release may get before "
+            "it is known to be good"},
     setting{"operators.token_file", &settings::token_file, optional, 0, 0,
             "file with the bearer token; without it TILLER_TOKEN is read"},
     setting{"log.level", &settings::log_level, optional, 0, 0,
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -245,10 +245,47 @@
     return last;
 }
 
+member_ptr call_entry::choose_on_trial(const received_request& request,
+                                       const call_state& state,
+                                       const service_targets& view)
+{
+    const auto& trial = view.on_trial(state.call.service);
+    if (trial.members.empty() ||
+        !m_services[state.call.service].tickets.has_one())
+        return nullptr;
+    // A full target would refuse it; those with the calls may have room.
+    auto roomy = trial.members;
+    std::erase_if(roomy,
+                  [now = steady_clock::now(), this](const member_ptr& each)
+                  { return m_targets.seems_full(each->rpc, now); });
+    return m_choice
+        .choose(roomy, state.tried, request.message.body().size(),
+                state.call.work())
+        .owner;
+}
+
+void call_entry::note_exposure(const call_state& state, bool reached)
+{
+    auto& tickets = m_services[state.call.service].tickets;
+    if (state.on_trial && !reached)
+        return tickets.give_back();
+    const auto view = m_board.targets.get();
+    const auto& trial = view->on_trial(state.call.service);
+    if (reached && trial.share > 0)
+        tickets.reached(trial.share, m_random.unit());
+}
+
 chosen_owner call_entry::choose_owner(const received_request& request,
-                                      const call_state& state,
+                                      call_state& state,
                                       const service_targets& view)
 {
+    state.on_trial = false;
+    if (auto owner = choose_on_trial(request, state, view))
+    {
+        m_services[state.call.service].tickets.take();
+        state.on_trial = true;
+        return {std::move(owner)};
+    }
     const auto now = steady_clock::now();
     auto avoid = m_refusals.refusing(state.refused_as(), now);
     const bool any_refuses = !avoid.empty();
@@ -355,6 +392,7 @@
                      answer.response ? answer.response->body().size() : 0},
                     now);
     note_refusal(state, owner, answer, now);
+    note_exposure(state, answer.reached);
     if (answer.reached)
         ++state.targets_reached;
     if (answer.target_ended)
@@ -468,6 +506,8 @@
         m_local.call_failed(answer.end == call_end::not_run &&
                             !answer.reached &&
                             answer.reason != ends_its_targets);
+    if (answer.end != call_end::answered || is_failure(answer))
+        m_local.runs().call_failed(state.call.request_id);
     const bool is_unknown = answer.end == call_end::unknown;
     m_log.ended(state.call, state.begin,
                 {state.targets_reached, state.tried.size(),
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -180,6 +180,11 @@
     return refused;
 }
 
+bool target_owner::is_closed(const target_report& target) const
+{
+    return m_board.rollouts.get()->is_closed(m_service, target.release);
+}
+
 bool target_owner::may_try(const owner_call& call, const call_hold& hold) const
 {
     return call.is_trial && m_trials == 0 && hold.may_be_tried(true);
@@ -219,6 +224,8 @@
         return refuse(call, "not_the_owner_of_this_service");
     if (m_targets.in_use() == nullptr)
         return refuse(call, "no_target_takes_work");
+    if (is_closed(*m_targets.in_use()))
+        return refuse(call, "release_closed");
     if (!m_up)
         return refuse(call, "target_down");
     if (m_board.phase == node_phase::ending)
@@ -257,6 +264,11 @@
         m_places.release(m_places.mean_run());
         return refuse(call, "no_target_takes_work");
     }
+    if (is_closed(*target))
+    {
+        m_places.release(m_places.mean_run());
+        return refuse(call, "release_closed");
+    }
     // Asked behind all waiting: the news may have come meanwhile.
     const auto hold = hold_of(*m_board.suspects.get(), request);
     if (hold && !may_try(call, *hold))
@@ -268,12 +280,17 @@
     const auto begin = steady_clock::now();
     const run_register::run running(m_runs, call.request_id, call.work(),
                                     request);
+    m_evidence.taken(target->id);
+    const bool is_cold = m_targets.is_cold(begin);
     const byte_backlog::body promised(&m_promised, large_answer(call.work()));
     auto answer = send(request, call, target_report(*target), scope);
     const auto took = answer.end == call_end::answered
                           ? steady_clock::now() - begin
                           : m_places.mean_run();
     m_places.release(took);
+    m_evidence.ended(
+        call.work(), answer,
+        {steady_clock::now() - begin, is_cold, running.lost_a_call()});
     if (ran_well(answer))
     {
         m_run_times.ran(call.work(), took);
--- /dev/null
+++ b/src/rollout/rollout_judge.cpp
@@ -0,0 +1,210 @@
+#include "tillerhall/rollout/rollout_judge.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <ranges>
+
+namespace tillerhall
+{
+namespace
+{
+
+// Who runs as much tells of a target that is used: a lone run does not.
+constexpr std::chrono::seconds ran_lately(3);
+// Nodes may send to the old release until they have heard of the last step, a
+// few tens of milliseconds, and calls on their way arrive within the same.
+constexpr milliseconds quiet_for(700);
+// Owners report twice a second; who has not for so long is gone or cut off.
+constexpr milliseconds gone_after(2'000);
+// A class of work counts that makes one run in twenty; of it so many runs find
+// a share of a quarter that fails with 19 in 20.
+constexpr std::uint32_t least_part = 20;
+constexpr std::uint32_t least_runs = 12;
+// What runs fail in all releases is known after so many; until then, while it
+// is not known, a good release was given up in 10 of 200 plays of a failure
+// that hit all. The service may have no runs at all: then not later than this.
+constexpr std::uint32_t least_compared = 60;
+constexpr milliseconds compared_by(2'000);
+// What must speak against each of the targets by which a release is given up,
+// and against three of them together, in logs of likelihood ratios. A target
+// that is bad by itself brings 8, so that the others must bring 10; as a target
+// like the old ones comes to 5 with e^-5, both do at once with e^-10.
+constexpr double least_strength = 3;
+constexpr double strength_a_target = 7;
+
+void subtract(counts_by_class& from, const counts_by_class& gone)
+{
+    for (const auto& [work, counts] : gone)
+    {
+        auto& left = from[work];
+        left = left.since(counts);
+        if (left.ended == 0 && left.timed() == 0)
+            from.erase(work);
+    }
+}
+
+std::uint32_t ended_in(const counts_by_class& counts)
+{
+    std::uint32_t sum = 0;
+    for (const auto& [work, each] : counts)
+        sum += each.ended;
+    return sum;
+}
+
+counts_by_class news_of(const counts_by_class& now,
+                        const counts_by_class& before)
+{
+    counts_by_class news;
+    for (const auto& [work, counts] : now)
+    {
+        const auto known = before.find(work);
+        const auto added =
+            known == before.end() ? counts : counts.since(known->second);
+        if (added.ended > 0 || added.timed() > 0)
+            news.emplace(work, added);
+    }
+    return news;
+}
+
+} // namespace
+
+bool rollout_judge::take(const owner_report& report, time_point now)
+{
+    forget_old(now);
+    auto& known = m_owners[report.target_id];
+    const bool is_first = known.heard == time_point{};
+    if (!is_first &&
+        (report.boot < known.last.boot ||
+         (report.boot == known.last.boot && report.taken < known.last.taken)))
+        return false;
+    if (report.boot > known.last.boot)
+    {
+        known.last.counts.clear();
+        known.judged.clear();
+    }
+    if (m_first == time_point{})
+        m_first = now;
+    const auto news = news_of(report.counts, known.last.counts);
+    if (is_first || report.running > 0 || report.taken != known.last.taken)
+        known.busy = now;
+    known.heard = now;
+    known.last = report;
+    if (!news.empty())
+        known.ran = now;
+    if (report.release == m_settled && !is_first)
+        add_before(news, now); // the first one may tell of long ago
+    if (report.release != m_wanted)
+        return false;
+    for (const auto& [work, counts] : news)
+        m_stage[work] += counts;
+    try_target(known, now);
+    return known.trial.is_suspect() &&
+           m_suspects.insert(report.target_id).second;
+}
+
+bool rollout_judge::may_judge(time_point now) const
+{
+    return ended_in(m_before) >= least_compared || now > m_first + compared_by;
+}
+
+void rollout_judge::try_target(owner_state& of, time_point now)
+{
+    if (!may_judge(now))
+        return; // it is all in the next report as well
+    of.trial.ran(news_of(of.last.counts, of.judged), baseline());
+    of.judged = of.last.counts;
+}
+
+void rollout_judge::add_before(const counts_by_class& news, time_point now)
+{
+    if (news.empty())
+        return;
+    m_spans.push_back({now, news});
+    for (const auto& [work, counts] : news)
+        m_before[work] += counts;
+}
+
+void rollout_judge::forget_old(time_point now)
+{
+    while (!m_spans.empty() && m_spans.front().at + lately < now)
+    {
+        subtract(m_before, m_spans.front().counts);
+        m_spans.pop_front();
+    }
+}
+
+std::string rollout_judge::reason_of(const std::string& target_id) const
+{
+    const auto found = m_owners.find(target_id);
+    return found == m_owners.end() ? std::string()
+                                   : found->second.trial.reason();
+}
+
+bool rollout_judge::is_bad(std::size_t targets, time_point now) const
+{
+    const auto needed =
+        std::max<std::size_t>(1, std::min(targets, suspects_needed));
+    std::vector<double> against(m_suspects.size(), target_trial::threshold);
+    std::size_t well = 0;
+    for (const auto& [id, state] : m_owners)
+    {
+        if (state.last.release != m_wanted || now >= state.ran + ran_lately ||
+            m_suspects.contains(id))
+            continue;
+        const double strength = state.trial.strength();
+        if (strength >= least_strength)
+            against.push_back(strength);
+        else
+            ++well;
+    }
+    if (against.size() < needed || against.size() <= well)
+        return false;
+    std::ranges::sort(against, std::greater<>());
+    const double sum = std::accumulate(
+        against.begin(), against.begin() + static_cast<std::ptrdiff_t>(needed),
+        0.0);
+    return sum >= strength_a_target * static_cast<double>(needed);
+}
+
+void rollout_judge::begin_stage()
+{
+    m_stage.clear();
+}
+
+stage_evidence rollout_judge::evidence() const
+{
+    stage_evidence seen;
+    seen.ended = ended_in(m_stage);
+    for (const auto& [work, counts] : m_stage)
+        seen.timed += counts.timed();
+    const auto before = ended_in(m_before);
+    seen.has_every_class = std::ranges::all_of(
+        m_before,
+        [&](const auto& each)
+        {
+            const auto& [work, counts] = each;
+            if (counts.ended * least_part < before)
+                return true;
+            const auto found = m_stage.find(work);
+            return found != m_stage.end() && found->second.ended >= least_runs;
+        });
+    return seen;
+}
+
+bool rollout_judge::is_idle(const std::vector<address>& owners,
+                            time_point now) const
+{
+    return std::ranges::all_of(
+        m_owners,
+        [&](const auto& each)
+        {
+            const auto& state = each.second;
+            if (state.last.release != m_settled ||
+                std::ranges::find(owners, state.last.owner) == owners.end() ||
+                now > state.heard + gone_after)
+                return true;
+            return state.last.running == 0 && now > state.busy + quiet_for;
+        });
+}
+
+} // namespace tillerhall
--- /dev/null
+++ b/src/rollout/rollout_record.cpp
@@ -0,0 +1,155 @@
+#include "tillerhall/rollout/rollout_record.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <iterator>
+#include <set>
+#include <stdexcept>
+
+namespace tillerhall
+{
+namespace
+{
+
+namespace json = boost::json;
+
+/** Adds names, sorted and bounded, so that every node keeps the same ones. */
+bool add_names(std::vector<std::string>& to,
+               const std::vector<std::string>& offered,
+               std::size_t most)
+{
+    std::set<std::string> all(to.begin(), to.end());
+    all.insert(offered.begin(), offered.end());
+    std::vector<std::string> merged(all.begin(), all.end());
+    merged.resize(std::min(merged.size(), most));
+    const bool changed = merged != to;
+    to = std::move(merged);
+    return changed;
+}
+
+/** @return what stays closed when a newer order replaces @p before. */
+std::vector<std::string> closed_after(const rollout_record& before)
+{
+    auto closed = before.closed;
+    if (before.state != rollout_state::completed &&
+        before.order.release != before.settled)
+        add_names(closed, {before.order.release}, rollout_record::most_closed);
+    return closed;
+}
+
+bool replace(rollout_record& known, const rollout_record& offered)
+{
+    auto next = offered;
+    if (next.settled.empty())
+        next.settled = settled_release(known);
+    add_names(next.closed, closed_after(known), rollout_record::most_closed);
+    // An order for it opens a release again.
+    std::erase(next.closed, next.order.release);
+    known = std::move(next);
+    return true;
+}
+
+/** Takes the greater of two. @return whether @p to changed. */
+template <class T>
+bool raise(T& to, const T& offered)
+{
+    if (!(to < offered))
+        return false;
+    to = offered;
+    return true;
+}
+
+template <class Enum>
+Enum enum_from(const json::value& value, Enum last)
+{
+    const auto number = json::value_to<std::uint64_t>(value);
+    if (number > static_cast<std::uint64_t>(last))
+        throw std::out_of_range("unknown state of a roll-out");
+    return static_cast<Enum>(number);
+}
+
+} // namespace
+
+bool merge(rollout_record& known, const rollout_record& offered)
+{
+    if (offered.order.revision != known.order.revision)
+        return offered.order.revision > known.order.revision &&
+               replace(known, offered);
+    bool changed = raise(known.stage, offered.stage);
+    if (offered.state > known.state)
+    {
+        known.state = offered.state;
+        known.reason = offered.reason;
+        changed = true;
+    }
+    if (known.settled.empty() && !offered.settled.empty())
+    {
+        known.settled = offered.settled;
+        changed = true;
+    }
+    known.begun = std::min(known.begun, offered.begun);
+    changed |= add_names(known.suspects, offered.suspects,
+                         rollout_record::most_suspects);
+    changed |=
+        add_names(known.closed, offered.closed, rollout_record::most_closed);
+    return changed;
+}
+
+bool is_closed(const rollout_record& known, const std::string& release)
+{
+    if (known.state == rollout_state::rolled_back &&
+        release == known.order.release)
+        return true;
+    // Its targets end without a word once the state is told.
+    if (known.state == rollout_state::completed && release == known.settled &&
+        release != known.order.release)
+        return true;
+    return std::ranges::find(known.closed, release) != known.closed.end();
+}
+
+const std::string& settled_release(const rollout_record& known)
+{
+    return known.state == rollout_state::completed ? known.order.release
+                                                   : known.settled;
+}
+
+json::value to_json(const rollout_record& sent, time_point now)
+{
+    return json::array{sent.order.service,
+                       sent.order.release,
+                       sent.order.time.count(),
+                       sent.order.revision,
+                       to_ms(now - sent.begun),
+                       sent.settled,
+                       static_cast<int>(sent.state),
+                       static_cast<int>(sent.stage),
+                       sent.reason,
+                       json::value_from(sent.suspects),
+                       json::value_from(sent.closed)};
+}
+
+rollout_record rollout_record_from_json(const json::value& value,
+                                        time_point now)
+{
+    const auto& cells = value.as_array();
+    std::size_t next = 0;
+    const auto text = [&]
+    { return json::value_to<std::string>(cells.at(next++)); };
+    const auto number = [&]
+    { return json::value_to<std::int64_t>(cells.at(next++)); };
+    rollout_record read;
+    read.order.service = text();
+    read.order.release = text();
+    read.order.time = milliseconds(number());
+    read.order.revision = json::value_to<std::uint64_t>(cells.at(next++));
+    read.begun = now - milliseconds(number());
+    read.settled = text();
+    read.state = enum_from(cells.at(next++), rollout_state::completed);
+    read.stage = enum_from(cells.at(next++), rollout_stage::all);
+    read.reason = text();
+    read.suspects = json::value_to<std::vector<std::string>>(cells.at(next++));
+    read.closed = json::value_to<std::vector<std::string>>(cells.at(next++));
+    return read;
+}
+
+} // namespace tillerhall
--- a/src/routing/service_targets.cpp
+++ b/src/routing/service_targets.cpp
@@ -1,9 +1,72 @@
 #include "tillerhall/routing/service_targets.hpp"
 
+#include "tillerhall/core/digest.hpp"
+
+#include <algorithm>
+
 namespace tillerhall
 {
+namespace
+{
 
-service_targets::service_targets(const member_list& members)
+/** @return how many of @p members have each release, where it is told. */
+std::map<std::string, std::size_t>
+count_releases(const std::vector<member_ptr>& members)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto& each : members)
+        if (!each->release.empty())
+            ++counts[each->release];
+    return counts;
+}
+
+/**
+ * @return the release that has the calls, where nobody has told: the one of
+ * most targets, of equals the first by name. Not one that was ordered and is
+ * not proved, nor a closed one.
+ */
+std::string usual_release(const std::string& service,
+                          const std::map<std::string, std::size_t>& counts,
+                          const rollout_view& rollouts)
+{
+    const auto* ordered = rollouts.find(service);
+    std::string usual;
+    std::size_t most = 0;
+    for (const auto& [release, count] : counts)
+    {
+        const bool is_ordered =
+            ordered != nullptr && release == ordered->order.release;
+        if (count > most && !is_ordered &&
+            !rollouts.is_closed(service, release))
+        {
+            usual = release;
+            most = count;
+        }
+    }
+    return usual;
+}
+
+bool is_suspect(const rollout_view& rollouts,
+                const std::string& service,
+                const member& checked)
+{
+    const auto* known = rollouts.find(service);
+    return known != nullptr &&
+           std::ranges::find(known->suspects, checked.target_id) !=
+               known->suspects.end();
+}
+
+bool has_all_calls(const rollout_view& rollouts, const std::string& service)
+{
+    const auto* known = rollouts.find(service);
+    return known != nullptr && known->state == rollout_state::running &&
+           known->stage == rollout_stage::all;
+}
+
+} // namespace
+
+service_targets::service_targets(const member_list& members,
+                                 const rollout_view& rollouts)
     : m_live(members.live_count())
 {
     for (const auto& each : members.ordered())
@@ -11,6 +74,81 @@
             m_by_service[each.record->service].push_back(each.record);
         else if (serves_while_leaving(*each.record))
             m_leaving[each.record->service].push_back(each.record);
+    for (auto& [service, leaving] : m_leaving)
+        m_by_service.try_emplace(service);
+    for (auto& [service, serving] : m_by_service)
+        part_by_release(service, serving, rollouts);
+}
+
+void service_targets::part_by_release(const std::string& service,
+                                      std::vector<member_ptr>& members,
+                                      const rollout_view& rollouts)
+{
+    const auto leaving = m_leaving.find(service);
+    auto counts = count_releases(members);
+    if (leaving != m_leaving.end())
+        counts.merge(count_releases(leaving->second));
+    if (counts.empty() ||
+        (counts.size() == 1 && rollouts.find(service) == nullptr))
+        return;
+    auto settled = rollouts.settled(service);
+    if (settled.empty())
+        settled = usual_release(service, counts, rollouts);
+    const auto standing = [&](const member_ptr& each)
+    {
+        return each->release.empty()
+                   ? release_standing::settled
+                   : rollouts.standing(service, each->release, settled);
+    };
+    std::map<release_standing, std::vector<member_ptr>> parts;
+    for (const auto& each : members)
+        parts[standing(each)].push_back(each);
+    auto& staying = parts[release_standing::settled];
+    auto& ordered = parts[release_standing::trial];
+    // In the last step the old release gets no more calls, unless nobody else
+    // is there to take them.
+    const bool moves = has_all_calls(rollouts, service) &&
+                       (!ordered.empty() || staying.empty());
+    if (leaving != m_leaving.end())
+        std::erase_if(leaving->second,
+                      [&](const member_ptr& each)
+                      {
+                          return standing(each) !=
+                                 (moves ? release_standing::trial
+                                        : release_standing::settled);
+                      });
+    if (moves)
+    {
+        members = std::move(ordered);
+        return;
+    }
+    auto& guests = parts[release_standing::guest];
+    if (staying.empty() && ordered.empty())
+    {
+        members = std::move(guests);
+        return;
+    }
+    put_on_trial(service, ordered.empty() ? guests : ordered, staying.size(),
+                 rollouts);
+    members = std::move(staying);
+}
+
+void service_targets::put_on_trial(const std::string& service,
+                                   std::vector<member_ptr> newcomers,
+                                   std::size_t settled_targets,
+                                   const rollout_view& rollouts)
+{
+    if (newcomers.empty())
+        return;
+    std::erase_if(newcomers, [&](const member_ptr& each)
+                  { return is_suspect(rollouts, service, *each); });
+    // The same ones at every entry, so that few targets get the whole share.
+    std::ranges::sort(newcomers, {},
+                      [](const member_ptr& each)
+                      { return stable_hash(each->target_id); });
+    const auto terms = rollouts.terms(service, settled_targets);
+    newcomers.resize(std::min(newcomers.size(), terms.targets));
+    m_trials[service] = {std::move(newcomers), terms.share};
 }
 
 const std::vector<member_ptr>& service_targets::find(const by_service& in,
@@ -33,4 +171,11 @@
     return find(m_leaving, service);
 }
 
+const trial_targets& service_targets::on_trial(const std::string& service) const
+{
+    static const trial_targets none;
+    const auto found = m_trials.find(service);
+    return found == m_trials.end() ? none : found->second;
+}
+
 } // namespace tillerhall
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -23,6 +23,9 @@
 // 0.25 and 0.1 runs 17, 18, 14, 9 and 6% of the calls that a test plays meet a
 // full owner first; 19% without questions.
 constexpr double word_holds_runs = 0.1;
+// A target that is asked seldom, since it is on trial, is asked again after
+// about a run: what it told is not replaced by what others ask it.
+constexpr milliseconds full_holds(200);
 // Refusals tell of the present load, so a few calls are enough to judge by.
 constexpr double refusal_share = 0.3;
 // A place whose targets all refuse or fail keeps this share of its weight,
@@ -361,6 +364,13 @@
     return has_free_place(m_records[owner]);
 }
 
+bool target_board::seems_full(const address& owner, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto& known = m_records[owner];
+    return now < known.told_at + full_holds && !has_free_place(known);
+}
+
 double target_board::answer_bytes(const work_class& work)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/targets/target_register.cpp
+++ b/src/targets/target_register.cpp
@@ -55,7 +55,8 @@
     const bool was_open = in_use() != nullptr;
     const bool same = m_current && m_current->id == report.id &&
                       m_current->where == report.where &&
-                      m_current->slots == report.slots;
+                      m_current->slots == report.slots &&
+                      m_current->release == report.release;
     m_current = report;
     m_cold_until = now + report.cold_for;
     if (!m_marks_known)
--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -73,6 +73,19 @@
     return true;
 }
 
+bool reporting_target::is_bad(std::string_view path)
+{
+    if (!path.starts_with(m_tricks.failing_prefix) ||
+        m_running < m_tricks.failing_load ||
+        steady_clock::now() < m_tricks.failing_from)
+        return false;
+    m_failing += m_tricks.failing;
+    if (m_failing < 1)
+        return false;
+    --m_failing;
+    return true;
+}
+
 void reporting_target::start_again(std::string id)
 {
     m_id = std::move(id);
@@ -107,7 +120,7 @@
         return 0;
     const boost::json::object body{
         {"service", m_service}, {"address", where().text()},
-        {"zone", "d1"},         {"version", "v1"},
+        {"zone", "d1"},         {"version", m_release},
         {"slots", 4},           {"state", state},
         {"coldRemaining", 0},   {"sequence", sequence}};
     api_client client(m_worker.io(), to);
@@ -164,8 +177,11 @@
                       std::string(call.head()["X-Deadline-Ms"]),
                       steady_clock::now()});
     const auto start = m_times_ended;
+    ++m_running;
+    const bool is_bad_run = is_bad(call.head().target());
     const bool ends = call.head().target() == m_tricks.ends_under;
     sleep_for(m_worker.io(), m_tricks.work);
+    --m_running;
     if (ends && !m_has_ended)
         end();
     if (start != m_times_ended)
@@ -175,7 +191,8 @@
         reset(call.stream());
         return false;
     }
-    return send(call, take(m_tricks.fail) ? 500 : 200, false);
+    const bool fails = take(m_tricks.fail) || is_bad_run;
+    return send(call, fails ? 500 : 200, false);
 }
 
 bool reporting_target::send(inbound_call& call, unsigned status, bool not_run)
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -27,6 +27,10 @@
     unsigned fail = 0;             ///< runs and answers 500
     unsigned early_answers = 0;    ///< answers before it reads the body
     std::string ends_under;        ///< a path; its process ends when that ran
+    double failing = 0;            ///< this share of runs answers 500
+    std::string failing_prefix;    ///< of the paths that fail; empty: all
+    unsigned failing_load = 0;     ///< fails only with so many runs at once
+    time_point failing_from{};     ///< is well until then
 };
 
 /** One run of a request. */
@@ -48,6 +52,8 @@
 
     const address& where() const noexcept { return m_where; }
     const std::string& id() const noexcept { return m_id; }
+    /** The version of its software, told with its reports. */
+    void set_release(std::string release) { m_release = std::move(release); }
     target_tricks& tricks() noexcept { return m_tricks; }
     const std::vector<target_run>& runs() const noexcept { return m_runs; }
 
@@ -77,12 +83,17 @@
     bool serve_one(inbound_call& call);
     bool send(inbound_call& call, unsigned status, bool not_run);
     static bool take(unsigned& trick);
+    /** @return whether a run of @p path fails by its release's fault. */
+    bool is_bad(std::string_view path);
 
     worker& m_worker;
     std::unique_ptr<listener> m_listener;
     address m_where;
     std::string m_id;
     std::string m_service;
+    std::string m_release = "v1";
+    unsigned m_running = 0;
+    double m_failing = 0; ///< of a run, carried from one to the next
     target_tricks m_tricks;
     std::vector<target_run> m_runs;
     std::uint64_t m_sequence = 0;
--- /dev/null
+++ b/tests/integration/rollouts.cpp
@@ -0,0 +1,390 @@
+/** @file Roll-outs of a service's release: bad ones are sent back soon, good
+ * ones completed, whatever happens meanwhile.
+ *
+ * The story: on a day with a bad release its targets got a full share at once,
+ * 10,146 of 30,315 calls where a tenth was allowed, since nothing here knew of
+ * releases. */
+#include "mesh_system.hpp"
+
+#include <algorithm>
+
+using namespace tillerhall;
+using namespace tillerhall::harness;
+
+namespace
+{
+
+constexpr std::size_t old_targets = 4;
+constexpr std::size_t new_targets = 4;
+constexpr int order_s = 10;
+// The bounds that the users set: a tenth and fifty calls before a release is
+// known to be good, and none later than 5 s after the 50th bad answer.
+constexpr double exposure = 0.1;
+constexpr std::size_t slack = 50;
+constexpr std::chrono::seconds most_after_bad(5);
+
+std::vector<std::string> services()
+{
+    std::vector<std::string> all(old_targets + new_targets, "perceel");
+    all.emplace_back("beurs");
+    return all;
+}
+
+/** Old targets, new ones that wait for their time, one entry besides, and
+ * clients that call all the while. */
+struct rollout_system : mesh_system
+{
+    explicit rollout_system(worker& on)
+        : mesh_system(on, services())
+    {
+        configure(1, {{"fields", "/fields/", "perceel", "safe", 2000, 2},
+                      {"sales", "/sales/", "perceel", "unsafe", 2000, 2}});
+        for (std::size_t i = 0; i < hosts().size(); ++i)
+            start_node(hosts()[i]);
+        for (std::size_t i = 0; i < old_targets; ++i)
+            old_ones.push_back(&hosts()[i]);
+        for (std::size_t i = 0; i < new_targets; ++i)
+            new_ones.push_back(&hosts()[old_targets + i]);
+        for (auto& each : hosts())
+            REQUIRE(wait_until([&] { return is_ready(each); }));
+        for (auto* each : old_ones)
+            report(*each);
+        report(hosts().back());
+        for (auto& from : hosts())
+            REQUIRE(wait_until(
+                [&] { return call(from, "w", "/fields/w").status == 200; }));
+        // Targets report on and on, as they do.
+        on.spawn([this, over = m_over] { report_for_ever(over); });
+    }
+
+    ~rollout_system() { *m_over = true; }
+
+    void report(mesh_host& host)
+    {
+        host.target->report(host.at["operators"], "ready");
+        m_reporting.insert(&host);
+    }
+
+    void report_for_ever(const std::shared_ptr<bool>& over)
+    {
+        while (!*over)
+        {
+            for (auto* each : std::set<mesh_host*>(m_reporting))
+                if (!*over && !each->target->has_ended())
+                    each->target->report(each->at["operators"], "ready");
+            sleep_for(on().io(), milliseconds(300));
+        }
+    }
+
+    void start_release(const std::string& release,
+                       const target_tricks& tricks = {})
+    {
+        for (auto* each : new_ones)
+        {
+            each->target->set_release(release);
+            each->target->tricks() = tricks;
+            report(*each);
+        }
+    }
+
+    void order(const std::string& release, int seconds = order_s)
+    {
+        ordered = steady_clock::now();
+        store().put("op", "", "rollout/perceel",
+                    boost::json::serialize(
+                        boost::json::object{{"service", "perceel"},
+                                            {"targetVersion", release},
+                                            {"duration", seconds}}));
+    }
+
+    /** @return the state that the store tells of the release. */
+    std::string state_of(const std::string& release)
+    {
+        const auto rows = store().values("status");
+        const auto found = rows.find("rollout/perceel");
+        if (found == rows.end())
+            return "";
+        const auto told = boost::json::parse(found->second).as_object();
+        return told.at("targetVersion").as_string() == release
+                   ? std::string(told.at("state").as_string())
+                   : "";
+    }
+
+    /** Clients call through all hosts until @p span is over or @p done. */
+    void press(duration span, const std::function<bool()>& done)
+    {
+        const auto until = steady_clock::now() + span;
+        const auto left = std::make_shared<int>(clients);
+        for (int i = 0; i < clients; ++i)
+            on().spawn(
+                [this, i, until, left, done]
+                {
+                    while (steady_clock::now() < until && !done())
+                        press_once(i);
+                    --*left;
+                });
+        while (*left > 0)
+            sleep_for(on().io(), milliseconds(20));
+    }
+
+    void press_once(int client)
+    {
+        auto& from =
+            hosts()[static_cast<std::size_t>(m_calls) % hosts().size()];
+        const auto id = "c-" + std::to_string(++m_calls);
+        const bool is_sale = m_calls % 3 == 0;
+        const auto answer = call(from, id, is_sale ? "/sales/x" : "/fields/x",
+                                 is_sale ? std::string("x") : std::string());
+        ++(answer.status == 200 ? good : bad);
+        sleep_for(on().io(), milliseconds(10 + client % 3));
+    }
+
+    std::size_t runs_at(const std::vector<mesh_host*>& some) const
+    {
+        std::size_t runs = 0;
+        for (const auto* each : some)
+            runs += each->target->runs().size();
+        return runs;
+    }
+
+    /** @return whether the new release got no more than its exposure. */
+    bool within_exposure() const
+    {
+        const auto fresh = runs_at(new_ones);
+        const auto all = fresh + runs_at(old_ones);
+        return static_cast<double>(fresh) <=
+               exposure * static_cast<double>(all) + slack;
+    }
+
+    /** Presses on for a while. @return whether the new release got nothing. */
+    bool stays_closed()
+    {
+        const auto before = runs_at(new_ones);
+        press(std::chrono::seconds(2), [] { return false; });
+        return runs_at(new_ones) == before;
+    }
+
+    /** Until the store tells that the release has @p state. */
+    bool comes_to(const std::string& release,
+                  const std::string& state,
+                  duration within = std::chrono::seconds(order_s))
+    {
+        press(ordered + within - steady_clock::now(),
+              [&] { return state_of(release) == state; });
+        return state_of(release) == state;
+    }
+
+    static constexpr int clients = 8;
+    std::vector<mesh_host*> old_ones;
+    std::vector<mesh_host*> new_ones;
+    time_point ordered{};
+    int good = 0;
+    int bad = 0;
+
+private:
+    std::set<mesh_host*> m_reporting;
+    std::shared_ptr<bool> m_over = std::make_shared<bool>(false);
+    int m_calls = 0;
+};
+
+target_tricks failing(double share)
+{
+    target_tricks tricks;
+    tricks.failing = share;
+    return tricks;
+}
+
+} // namespace
+
+TEST_CASE("a release that fails is sent back soon and got its exposure only")
+{
+    on_worker(
+        [](worker& on)
+        {
+            rollout_system system(on);
+            system.order("v2");
+            system.start_release("v2", failing(0.4));
+            CHECK(system.comes_to("v2", "rolled_back"));
+            CHECK(system.within_exposure());
+            CHECK(system.stays_closed());
+        });
+}
+
+TEST_CASE(
+    "releases bad in one class, later, slower or under load are sent back")
+{
+    auto one_class = failing(0.5);
+    one_class.failing_prefix = "/sales/";
+    auto later = failing(0.5);
+    later.failing_from = steady_clock::now() + std::chrono::seconds(7);
+    target_tricks slow;
+    slow.work = milliseconds(60);
+    auto under_load = failing(0.6);
+    under_load.failing_load = 2;
+    under_load.work = milliseconds(20);
+    struct bad_release
+    {
+        const char* name;
+        target_tricks tricks;
+    };
+    for (const auto& each :
+         {bad_release{"one class", one_class}, bad_release{"later", later},
+          bad_release{"slow", slow}, bad_release{"under load", under_load}})
+    {
+        on_worker(
+            [&](worker& on)
+            {
+                INFO(each.name);
+                rollout_system system(on);
+                system.order("v2");
+                auto tricks = each.tricks;
+                if (tricks.failing_from != time_point{})
+                    tricks.failing_from =
+                        steady_clock::now() + std::chrono::seconds(3);
+                system.start_release("v2", tricks);
+                CHECK(system.comes_to("v2", "rolled_back"));
+                CHECK(system.within_exposure());
+                CHECK(system.stays_closed());
+            });
+    }
+}
+
+TEST_CASE("a good release is completed in time and no call is cut by it")
+{
+    on_worker(
+        [](worker& on)
+        {
+            rollout_system system(on);
+            system.order("v2");
+            system.start_release("v2");
+            CHECK(system.comes_to("v2", "completed"));
+            CHECK(system.bad == 0);
+            // The old targets stop at once, without a word.
+            for (auto* each : system.old_ones)
+                each->target->end();
+            const auto before = system.runs_at(system.old_ones);
+            system.press(std::chrono::seconds(2), [] { return false; });
+            CHECK(system.bad == 0);
+            CHECK(system.runs_at(system.old_ones) == before);
+        });
+}
+
+TEST_CASE("targets of a new release that come before any order get little")
+{
+    on_worker(
+        [](worker& on)
+        {
+            rollout_system system(on);
+            system.start_release("v2", failing(0.5));
+            system.press(std::chrono::seconds(4), [] { return false; });
+            CHECK(system.within_exposure());
+            system.order("v2");
+            CHECK(system.comes_to("v2", "rolled_back"));
+            CHECK(system.within_exposure());
+        });
+}
+
+TEST_CASE("a loss of all nodes forgets neither an order nor a verdict")
+{
+    on_worker(
+        [](worker& on)
+        {
+            rollout_system system(on);
+            const auto lose_all = [&]
+            {
+                for (auto& each : system.hosts())
+                    each.node.kill();
+                for (auto& each : system.hosts())
+                    system.start_node(each);
+                for (auto& each : system.hosts())
+                    REQUIRE(system.wait_until(
+                        [&] { return system.is_ready(each); }));
+            };
+            system.order("v2", 2 * order_s);
+            system.start_release("v2", failing(0.4));
+            system.press(milliseconds(700), [] { return false; });
+            lose_all();
+            CHECK(system.comes_to("v2", "rolled_back",
+                                  std::chrono::seconds(2 * order_s)));
+            CHECK(system.within_exposure());
+            lose_all();
+            CHECK(system.stays_closed());
+            CHECK(system.state_of("v2") == "rolled_back");
+        });
+}
+
+TEST_CASE("a good release is completed after a loss of all nodes")
+{
+    on_worker(
+        [](worker& on)
+        {
+            rollout_system system(on);
+            system.order("v2", 2 * order_s);
+            system.start_release("v2");
+            system.press(std::chrono::seconds(4), [] { return false; });
+            for (auto& each : system.hosts())
+                each.node.kill();
+            for (auto& each : system.hosts())
+                system.start_node(each);
+            CHECK(system.comes_to("v2", "completed",
+                                  std::chrono::seconds(2 * order_s)));
+        });
+}
+
+TEST_CASE("a verdict binds while the store is away, and is written after it")
+{
+    on_worker(
+        [](worker& on)
+        {
+            rollout_system system(on);
+            system.order("v2");
+            REQUIRE(system.wait_until(
+                [&] { return system.state_of("v2") == "running"; }));
+            system.store().faults().down = true;
+            system.start_release("v2", failing(0.5));
+            system.press(std::chrono::seconds(5), [] { return false; });
+            CHECK(system.within_exposure());
+            CHECK(system.stays_closed());
+            CHECK(system.state_of("v2") == "running");
+            system.store().faults().down = false;
+            CHECK(system.comes_to("v2", "rolled_back",
+                                  std::chrono::seconds(2 * order_s)));
+        });
+}
+
+TEST_CASE("a newer order replaces one; what was sent back stays closed")
+{
+    on_worker(
+        [](worker& on)
+        {
+            rollout_system system(on);
+            system.order("v2");
+            system.start_release("v2", failing(0.5));
+            REQUIRE(system.comes_to("v2", "rolled_back"));
+            system.order("v3");
+            CHECK(system.stays_closed()); // its targets are of v2 still
+            for (auto* each : system.new_ones)
+                each->target->start_again(each->target->id() + "-v3");
+            system.start_release("v3");
+            CHECK(system.comes_to("v3", "completed"));
+        });
+}
+
+TEST_CASE("orders that cannot be followed harm nothing else")
+{
+    on_worker(
+        [](worker& on)
+        {
+            rollout_system system(on);
+            auto& store = system.store();
+            store.put("op", "", "rollout/nobody",
+                      R"({"service":"nobody","targetVersion":"v2",)"
+                      R"("duration":3})");
+            store.put("op", "", "rollout/beurs", "{\"service\":7}");
+            store.put("op", "", "rollout/odd", std::string("\xff\x00{", 3));
+            system.order("v9", 4); // no target has it
+            CHECK(system.comes_to("v9", "rolled_back"));
+            CHECK(system.bad == 0);
+            CHECK(system.within_exposure());
+        });
+}
--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -1,6 +1,7 @@
 /** @file The adapter's decoders: the platform's messages as our types. */
 #include "config_decoder.hpp"
 #include "report_decoder.hpp"
+#include "rollout_decoder.hpp"
 #include "store_client.hpp"
 
 #include <boost/json.hpp>
@@ -228,3 +229,66 @@
                                 "value":"%%%%","ver":4}]})"})
         CHECK_FALSE(platform::decode_rows(bad));
 }
+
+TEST_CASE("orders of roll-outs are read, others refused or passed over")
+{
+    const auto rows = platform::rollout_rows();
+    const auto row = [](const std::string& key, const std::string& value)
+    {
+        stored_row made;
+        made.name = {"op", "", key};
+        made.value = value;
+        made.revision = 9;
+        return made;
+    };
+    const std::string good =
+        R"({"service":"s1","targetVersion":"v2","duration":12.5})";
+    const auto order = rows.decode_order(row("rollout/s1", good));
+    REQUIRE(order);
+    REQUIRE(*order);
+    CHECK((*order)->service == "s1");
+    CHECK((*order)->release == "v2");
+    CHECK((*order)->time == milliseconds(12'500));
+    CHECK((*order)->revision == 9);
+    CHECK_FALSE(rows.decode_order(row("config", good)));
+    for (const auto* bad :
+         {"", "7", "{}", R"({"service":"s1","targetVersion":"v2"})",
+          R"({"service":"s2","targetVersion":"v2","duration":12})",
+          R"({"service":"s1","targetVersion":"","duration":12})",
+          R"({"service":"s1","targetVersion":"v2","duration":0})",
+          R"({"service":"s1","targetVersion":"v2","duration":"x"})"})
+    {
+        INFO(bad);
+        const auto refused = rows.decode_order(row("rollout/s1", bad));
+        REQUIRE(refused);
+        CHECK_FALSE(*refused);
+    }
+}
+
+TEST_CASE("a roll-out's state comes back from its row, also another writer's")
+{
+    const auto rows = platform::rollout_rows();
+    CHECK(rows.verdict_row("s1") == row_name{"status", "", "rollout/s1"});
+    stored_verdict verdict;
+    verdict.release = "v2";
+    verdict.state = rollout_state::rolled_back;
+    verdict.begun_ms = 1'700'000'000'000;
+    stored_row row;
+    row.value = rows.encode_verdict("s1", verdict);
+    row.revision = 4;
+    const auto read = rows.decode_verdict(row);
+    REQUIRE(read);
+    CHECK(read->release == "v2");
+    CHECK(read->state == rollout_state::rolled_back);
+    CHECK(read->begun_ms == verdict.begun_ms);
+    CHECK(read->revision == 4);
+    row.value = R"({"targetVersion":"v2","state":"completed"})";
+    REQUIRE(rows.decode_verdict(row));
+    CHECK(rows.decode_verdict(row)->begun_ms == 0);
+    for (const auto* bad : {"", "[]", R"({"state":"running"})",
+                            R"({"targetVersion":"v2","state":"odd"})"})
+    {
+        row.value = bad;
+        CHECK_FALSE(rows.decode_verdict(row));
+    }
+}
--- /dev/null
+++ b/tests/unit/rollout_records.cpp
@@ -0,0 +1,215 @@
+/** @file Records of roll-outs: merging, reading, and which release gets what.
+ */
+#include "tillerhall/core/random.hpp"
+#include "tillerhall/rollout/rollout_record.hpp"
+#include "tillerhall/rollout/rollout_view.hpp"
+#include "tillerhall/routing/service_targets.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+using namespace tillerhall;
+
+namespace
+{
+
+const time_point start{std::chrono::hours(1)};
+
+rollout_record ordered(std::uint64_t revision,
+                       const std::string& release = "v2")
+{
+    rollout_record made;
+    made.order = {"perceel", release, milliseconds(16'000), revision};
+    made.begun = start;
+    made.settled = "v1";
+    made.state = rollout_state::running;
+    return made;
+}
+
+rollout_record random_record(random_source& random)
+{
+    auto made = ordered(random.below(3) + 1);
+    made.order.release = "v" + std::to_string(made.order.revision + 1);
+    made.state = static_cast<rollout_state>(random.below(4));
+    made.stage = static_cast<rollout_stage>(random.below(5));
+    if (random.below(2) == 0)
+        made.suspects = {"i-" + std::to_string(random.below(4))};
+    return made;
+}
+
+std::string text_of(const rollout_record& record)
+{
+    return boost::json::serialize(to_json(record, start));
+}
+
+/** Members with a target each; odd ones of release v2. */
+struct two_releases
+{
+    two_releases()
+        : members(record(1, "v1"))
+    {
+        for (std::uint16_t port = 2; port <= 24; ++port)
+            members.merge(record(port, port % 2 == 0 ? "v1" : "v2"));
+    }
+
+    static member record(std::uint16_t port, const std::string& release)
+    {
+        member made;
+        made.rpc = {"127.0.0.1", port};
+        made.service = "perceel";
+        made.release = release;
+        made.target_id = "i-" + std::to_string(port);
+        made.incarnation = 1;
+        return made;
+    }
+
+    service_targets view(const rollout_record& known) const
+    {
+        return service_targets(members,
+                               rollout_view({{"perceel", known}}, {}, 0.1));
+    }
+
+    member_list members;
+};
+
+bool all_of_release(const std::vector<member_ptr>& members,
+                    const std::string& release)
+{
+    return std::ranges::all_of(members, [&](const member_ptr& each)
+                               { return each->release == release; });
+}
+
+} // namespace
+
+TEST_CASE("records of roll-outs merge alike in any order")
+{
+    random_source random(7);
+    for (int round = 0; round < 300; ++round)
+    {
+        std::vector<rollout_record> all;
+        for (int i = 0; i < 6; ++i)
+            all.push_back(random_record(random));
+        auto one = all.front();
+        for (const auto& each : all)
+            merge(one, each);
+        std::ranges::shuffle(all, random);
+        auto other = all.front();
+        for (const auto& each : all)
+            merge(other, each);
+        // What was closed by orders that one of them never met may differ.
+        one.closed.clear();
+        other.closed.clear();
+        CHECK(text_of(one) == text_of(other));
+        CHECK_FALSE(merge(one, one));
+    }
+}
+
+TEST_CASE("a state never goes back, and a newer order begins anew")
+{
+    auto known = ordered(5);
+    auto back = ordered(5);
+    back.state = rollout_state::rolled_back;
+    CHECK(merge(known, back));
+    CHECK_FALSE(merge(known, ordered(5)));
+    CHECK(known.state == rollout_state::rolled_back);
+    CHECK(is_closed(known, "v2"));
+    CHECK_FALSE(merge(known, ordered(4)));
+    CHECK(merge(known, ordered(9, "v3")));
+    CHECK(known.state == rollout_state::running);
+    CHECK(is_closed(known, "v2"));
+    CHECK_FALSE(is_closed(known, "v3"));
+    // An operator who orders it again opens it again.
+    CHECK(merge(known, ordered(12, "v2")));
+    CHECK_FALSE(is_closed(known, "v2"));
+    CHECK(is_closed(known, "v3"));
+}
+
+TEST_CASE("a record comes back from its compact form, and bad ones throw")
+{
+    auto sent = ordered(5);
+    sent.suspects = {"i-1"};
+    sent.closed = {"v0"};
+    sent.reason = "why";
+    const auto now = start + milliseconds(1'500);
+    const auto text = to_json(sent, now);
+    const auto later = now + milliseconds(700);
+    const auto read = rollout_record_from_json(text, later);
+    CHECK(read.begun == start + milliseconds(700));
+    CHECK(text_of(read) !=
+          text_of(sent)); // only by the age that the way has added
+    CHECK(read.order.release == "v2");
+    CHECK(read.suspects == sent.suspects);
+    CHECK(read.closed == sent.closed);
+    for (const auto* bad :
+         {"7", "[]", R"(["s","v",1,1,1,"",9,0,"",[],[]])",
+          R"(["s","v",1,1,1,"",0,9,"",[],[]])", R"(["s","v",1,1,1,"",0,0])"})
+        CHECK_THROWS(rollout_record_from_json(boost::json::parse(bad), now));
+}
+
+TEST_CASE("what releases get follows the roll-out's state and stage")
+{
+    const two_releases mesh;
+    auto known = ordered(5);
+
+    known.state = rollout_state::unread;
+    CHECK(mesh.view(known).on_trial("perceel").members.empty());
+    CHECK(all_of_release(mesh.view(known).of("perceel"), "v1"));
+
+    known.state = rollout_state::running;
+    const auto first = mesh.view(known);
+    CHECK(first.of("perceel").size() == 13);
+    CHECK(all_of_release(first.of("perceel"), "v1"));
+    CHECK(first.on_trial("perceel").members.size() == 3);
+    CHECK(all_of_release(first.on_trial("perceel").members, "v2"));
+    CHECK(first.on_trial("perceel").share == 0.05);
+
+    known.stage = rollout_stage::loaded;
+    const auto loaded = mesh.view(known);
+    REQUIRE(loaded.on_trial("perceel").members.size() == 1);
+    known.suspects = {loaded.on_trial("perceel").members[0]->target_id};
+    const auto after = mesh.view(known);
+    REQUIRE(after.on_trial("perceel").members.size() == 1);
+    CHECK(after.on_trial("perceel").members[0]->target_id != known.suspects[0]);
+
+    known.stage = rollout_stage::half;
+    CHECK(mesh.view(known).on_trial("perceel").members.size() == 7);
+    known.stage = rollout_stage::all;
+    CHECK(mesh.view(known).of("perceel").size() == 11);
+    CHECK(all_of_release(mesh.view(known).of("perceel"), "v2"));
+
+    known.state = rollout_state::completed;
+    CHECK(all_of_release(mesh.view(known).of("perceel"), "v2"));
+    known.state = rollout_state::rolled_back;
+    CHECK(all_of_release(mesh.view(known).of("perceel"), "v1"));
+    CHECK(mesh.view(known).on_trial("perceel").members.empty());
+}
+
+TEST_CASE("a newcomer that nobody ordered gets the least share only")
+{
+    const two_releases mesh;
+    const service_targets view(mesh.members,
+                               rollout_view({}, {{"perceel", "v2"}}, 0.1));
+    CHECK(all_of_release(view.of("perceel"), "v2"));
+    CHECK(all_of_release(view.on_trial("perceel").members, "v1"));
+    CHECK(view.on_trial("perceel").share == 0.05);
+    // A node that has just started goes by what most targets have.
+    const service_targets fresh(mesh.members);
+    CHECK(all_of_release(fresh.of("perceel"), "v1"));
+    CHECK(fresh.on_trial("perceel").members.size() == 3);
+}
+
+TEST_CASE("a release that a service has alone gets its calls, ordered or not")
+{
+    member_list members(two_releases::record(1, "v3"));
+    CHECK(service_targets(members).of("perceel").size() == 1);
+    auto back = ordered(5);
+    back.state = rollout_state::rolled_back;
+    const rollout_view known({{"perceel", back}}, {}, 0.1);
+    CHECK(service_targets(members, known).of("perceel").size() == 1);
+    // But not the one that was rolled back, and none that is not proved.
+    member_list bad(two_releases::record(1, "v2"));
+    CHECK(service_targets(bad, known).of("perceel").empty());
+    const rollout_view running({{"perceel", ordered(5)}}, {}, 0.1);
+    CHECK(service_targets(bad, running).of("perceel").empty());
+}
