tiller rollout: roll-outs are listed, ordered and taken back by operators

Cause: an order could be given and watched only by writing rows of the store.

Change: /v1/rollouts at the operators' address of any node: GET lists each roll-out with its step, reason, suspects and the runs it is judged by (asked of a node that is told of them); POST writes an order into the store, where it takes the same way as any other; DELETE orders the former release again, which ends the trial and leaves the new one closed. Changes need the token, as on the path of the table; reading it and comparing it became one piece of code for both programs. `tiller rollout list | start | abort` speaks it.

Test: operators order, watch and take back a roll-out through any node (integration rollouts): without a token refused, bad times refused, evidence listed, nothing reaches the release after the abort.

--- a/apps/tiller/main.cpp
+++ b/apps/tiller/main.cpp
@@ -46,6 +46,9 @@
     command{"report", "burn", "service-level burn of all services and places",
             "tiller report burn --service perceel --html burn.html", 1, 1,
             run_report},
+    command{"rollout", "[list | start SERVICE RELEASE | abort SERVICE]",
+            "see, order or take back another release of a service's targets",
+            "tiller rollout start perceel v2 --timeout 600", 0, 3, run_rollout},
     command{"completion", "", "print a bash completion script",
             "source <(tiller completion)", 0, 0, run_completion},
 };
@@ -65,7 +68,7 @@
                                        cxxopts::value<std::uint64_t>())(
         "rebase", "keep newer versions' edits of other cells")(
         "watch", "follow the version until it is in force")(
-        "timeout", "seconds to watch",
+        "timeout", "seconds to watch, or to roll out within",
         cxxopts::value<double>()->default_value("60"))(
         "limit", "versions to list",
         cxxopts::value<unsigned>()->default_value("20"))(
--- /dev/null
+++ b/apps/tiller/rollouts.cpp
@@ -0,0 +1,110 @@
+/** @file The subcommand for roll-outs of targets' releases. */
+#include "command.hpp"
+
+#include "tillerhall/http/api_client.hpp"
+
+#include <boost/json.hpp>
+#include <iomanip>
+#include <iostream>
+
+namespace tillerhall::cli
+{
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr const char* path = "/v1/rollouts";
+
+std::string text(const json::value& of, const char* name)
+{
+    return json::value_to<std::string>(of.at(name));
+}
+
+std::string seconds(const json::value& of, const char* name)
+{
+    constexpr std::int64_t ms_per_s = 1000;
+    return std::to_string(of.at(name).to_number<std::int64_t>() / ms_per_s) +
+           " s";
+}
+
+void print_rollout(const json::value& told)
+{
+    std::cout << text(told, "service") << ": " << text(told, "before") << " -> "
+              << text(told, "release") << "  " << text(told, "state");
+    if (text(told, "state") == "running")
+        std::cout << ", step " << text(told, "stage") << ", "
+                  << seconds(told, "age_ms") << " of "
+                  << seconds(told, "time_ms");
+    std::cout << "\n";
+    if (!text(told, "reason").empty())
+        std::cout << "    " << text(told, "reason") << "\n";
+    for (const auto& each : told.at("suspects").as_array())
+        std::cout << "    suspect: " << each.as_string().c_str() << "\n";
+    for (const auto& each : told.at("evidence").as_array())
+        std::cout << "    " << text(each, "release") << ", rank "
+                  << each.at("rank").to_number<int>() << " within "
+                  << each.at("objective_ms").to_number<int>()
+                  << " ms: " << each.at("runs").to_number<int>() << " runs, "
+                  << each.at("failed").to_number<int>() << " failed\n";
+}
+
+int list(invocation& given)
+{
+    const auto answer = given.mesh.ask("GET", path);
+    if (!answer)
+        return fail(answer.reason());
+    if (answer->status != 200)
+        return fail(*answer);
+    if (given.as_json)
+    {
+        std::cout << answer->body << "\n";
+        return exit_ok;
+    }
+    const auto body = json::parse(answer->body);
+    const auto& rollouts = body.at("rollouts").as_array();
+    for (const auto& each : rollouts)
+        print_rollout(each);
+    if (rollouts.empty())
+        std::cout << "no roll-out was ordered\n";
+    return exit_ok;
+}
+
+int change(invocation& given,
+           const std::string& method,
+           const std::string& target,
+           const std::string& body)
+{
+    const auto answer = given.mesh.ask(method, target, body);
+    if (!answer)
+        return fail(answer.reason());
+    if (answer->status != 200)
+        return fail(*answer);
+    std::cout << answer->body << "\n";
+    return exit_ok;
+}
+
+} // namespace
+
+int run_rollout(invocation& given)
+{
+    const auto& words = given.arguments;
+    if (words.empty() || (words[0] == "list" && words.size() == 1))
+        return list(given);
+    if (words[0] == "start" && words.size() == 3)
+        return change(given, "POST", path,
+                      json::serialize(json::object{
+                          {"service", words[1]},
+                          {"release", words[2]},
+                          {"time_s", given.options["timeout"].as<double>()}}));
+    if (words[0] == "abort" && words.size() == 2)
+        return change(
+            given, "DELETE",
+            std::string(path) + "?service=" + percent_encode(words[1]), "");
+    return fail(error(error_code::invalid_argument,
+                      "not understood: rollout " + words[0],
+                      "use list, start SERVICE RELEASE [--timeout SECONDS], "
+                      "or abort SERVICE"));
+}
+
+} // namespace tillerhall::cli
--- a/apps/tillerd.cpp
+++ b/apps/tillerd.cpp
@@ -1,5 +1,6 @@
 /** @file The node daemon: parses its command line and runs a node. */
 #include "tillerhall/node/node.hpp"
+#include "tillerhall/node/operator_token.hpp"
 #include "tillerhall/observe/log.hpp"
 
 #include <boost/json.hpp>
@@ -17,23 +18,6 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cannot_start = 3;
 
-/** @return the token in the settings' file, or in TILLER_TOKEN. */
-result<std::string> read_token(const settings& config)
-{
-    if (config.token_file.empty())
-    {
-        const char* given = std::getenv("TILLER_TOKEN");
-        return std::string(given == nullptr ? "" : given);
-    }
-    std::ifstream file(config.token_file);
-    std::string token;
-    if (!std::getline(file, token) || token.empty())
-        return error(error_code::invalid_argument,
-                     "no token in " + config.token_file,
-                     "write the token on the first line of that file");
-    return token;
-}
-
 void print_addresses(const settings& config)
 {
     std::cout << boost::json::serialize(boost::json::object{
@@ -102,7 +86,7 @@
     log_level level{};
     parse_log_level(outcome.read.log_level, level);
     start_logging(level);
-    const auto token = read_token(outcome.read);
+    const auto token = read_operator_token(outcome.read);
     if (!token)
     {
         std::cerr << token.reason().message() << "\n";
--- a/include/tillerhall/control/rollout_decider.hpp
+++ b/include/tillerhall/control/rollout_decider.hpp
@@ -35,8 +35,9 @@
     /** Takes a report of this node's own or another owner. */
     void take(const owner_report& report);
 
-    /** @return what was found of each roll-out here, for operators. */
-    boost::json::array account() const;
+    /** @return what was found of each roll-out, for operators: here, or at a
+     * node that is told of what runs. */
+    boost::json::array account();
 
 private:
     struct trial
@@ -50,6 +51,9 @@
         trial(const rollout_record& of, time_point now);
     };
 
+    boost::json::array own_account() const;
+    /** @return whether this node is told of what runs in all roll-outs. */
+    bool is_told() const;
     void decide_loop();
     void decide(const rollout_record& record);
     void move_on(const rollout_record& record, trial& of);
--- a/include/tillerhall/control/rollout_keeper.hpp
+++ b/include/tillerhall/control/rollout_keeper.hpp
@@ -36,6 +36,12 @@
     /** This node found the state of @p service 's roll-out: it writes it. */
     void keep(const std::string& service) { m_kept_here.insert(service); }
 
+    /**
+     * Writes an order into the store, in place of the one that is there.
+     * @return the revision of the order, or why it was not taken.
+     */
+    result<std::uint64_t> give(const rollout_order& order);
+
     /**
      * Writes that @p record is completed. @return whether it is, by this or an
      * earlier write; if so it is known to all nodes soon.
--- a/include/tillerhall/control/rollout_source.hpp
+++ b/include/tillerhall/control/rollout_source.hpp
@@ -19,6 +19,10 @@
     std::function<std::optional<result<rollout_order>>(const stored_row&)>
         decode_order;
 
+    /** @return the row that holds the order for a service, and its text. */
+    std::function<row_name(const std::string& service)> order_row;
+    std::function<std::string(const rollout_order&)> encode_order;
+
     /** @return the row that tells how the roll-out of a service stands. */
     std::function<row_name(const std::string& service)> verdict_row;
 
--- a/include/tillerhall/node/mesh_node.hpp
+++ b/include/tillerhall/node/mesh_node.hpp
@@ -36,6 +36,9 @@
     /** Path of the check whether a node takes calls. */
     std::string ready_path = "/ready";
 
+    /** Without which operators change nothing; empty refuses all changes. */
+    std::string operator_token;
+
     /** Reads the settings again after SIGHUP. */
     std::function<settings_outcome()> reload;
 };
--- a/include/tillerhall/node/messages.hpp
+++ b/include/tillerhall/node/messages.hpp
@@ -31,6 +31,7 @@
 inline constexpr const char* routes_word = "word";
 inline constexpr const char* rollouts = "rollouts";
 inline constexpr const char* owner_report = "runs";
+inline constexpr const char* rollout_account = "trials";
 } // namespace method
 
 /** A heartbeat and its answer: where the sender stands, and news. */
--- a/include/tillerhall/rollout/rollout_judge.hpp
+++ b/include/tillerhall/rollout/rollout_judge.hpp
@@ -73,6 +73,9 @@
      */
     bool is_idle(const std::vector<address>& owners, time_point now) const;
 
+    /** @return what ran at the new release in this stage. */
+    const counts_by_class& stage_counts() const noexcept { return m_stage; }
+
     /** @return what ran at the old release lately. */
     release_baseline baseline() const { return release_baseline(m_before); }
 
--- a/src/control/rollout_decider.cpp
+++ b/src/control/rollout_decider.cpp
@@ -1,5 +1,6 @@
 #include "tillerhall/control/rollout_decider.hpp"
 
+#include "tillerhall/distribution/reader_choice.hpp"
 #include "tillerhall/node/messages.hpp"
 
 #include <algorithm>
@@ -16,6 +17,21 @@
 constexpr milliseconds decide_pause(200);
 // Owners report twice a second: who has heard of none does not decide.
 constexpr milliseconds reports_hold(2'000);
+constexpr milliseconds account_timeout(1'000);
+
+/** Adds what ran at @p release, a line a class of work. */
+void add_evidence(json::array& to,
+                  const std::string& release,
+                  const counts_by_class& counts)
+{
+    for (const auto& [work, each] : counts)
+        to.push_back(json::object{{"release", release},
+                                  {"rank", work.rank},
+                                  {"objective_ms", work.objective.count()},
+                                  {"kind", name_of(work.kind)},
+                                  {"runs", each.ended},
+                                  {"failed", each.failed}});
+}
 
 } // namespace
 
@@ -46,6 +62,10 @@
                           take(owner_report_from_json(params));
                           return {};
                       });
+    m_mesh.server.add(method::rollout_account, traffic_kind::watch,
+                      [this](const json::object&) -> json::object {
+                          return {{"r", own_account()}};
+                      });
 }
 
 void rollout_decider::start()
@@ -196,7 +216,39 @@
     m_book.learn(next, "decided here");
 }
 
-json::array rollout_decider::account() const
+bool rollout_decider::is_told() const
+{
+    return std::ranges::all_of(
+        m_book.records(),
+        [this](const auto& each)
+        {
+            const auto& [service, record] = each;
+            const auto found = m_trials.find(service);
+            return record.state != rollout_state::running ||
+                   (found != m_trials.end() &&
+                    steady_clock::now() < found->second.heard + reports_hold);
+        });
+}
+
+json::array rollout_decider::account()
+{
+    if (is_told())
+        return own_account();
+    for (const auto& reader : best_readers(m_mesh.members))
+    {
+        if (reader == m_mesh.members.self().rpc)
+            continue;
+        const auto answer = m_mesh.pool.call({reader, traffic_kind::watch,
+                                              method::rollout_account,
+                                              json::object(), account_timeout});
+        const auto* told = answer ? answer->if_contains("r") : nullptr;
+        if (told != nullptr && told->is_array())
+            return told->as_array();
+    }
+    return own_account();
+}
+
+json::array rollout_decider::own_account() const
 {
     json::array list;
     for (const auto& [service, record] : m_book.records())
@@ -211,14 +263,17 @@
                           {"time_ms", record.order.time.count()},
                           {"suspects", json::value_from(record.suspects)},
                           {"closed", json::value_from(record.closed)}};
-        if (const auto found = m_trials.find(service);
-            found != m_trials.end() &&
+        const auto found = m_trials.find(service);
+        json::array evidence;
+        if (found != m_trials.end() &&
             found->second.revision == record.order.revision)
         {
-            const auto seen = found->second.judge.evidence();
-            told["runs"] = seen.ended;
-            told["timed_runs"] = seen.timed;
+            const auto& judge = found->second.judge;
+            const auto before = judge.baseline();
+            add_evidence(evidence, record.settled, before.counts());
+            add_evidence(evidence, record.order.release, judge.stage_counts());
         }
+        told["evidence"] = std::move(evidence);
         list.push_back(std::move(told));
     }
     return list;
--- a/src/control/rollout_keeper.cpp
+++ b/src/control/rollout_keeper.cpp
@@ -187,6 +187,28 @@
     return false;
 }
 
+result<std::uint64_t> rollout_keeper::give(const rollout_order& order)
+{
+    const auto name = m_source.order_row(order.service);
+    const auto page = m_store.read(name.table, name.part, name.key);
+    if (!page)
+        return page.reason();
+    const auto row = std::ranges::find(page->rows, name, &stored_row::name);
+    const bool is_there = row != page->rows.end() && !row->removed;
+    const auto outcome = m_store.write(
+        {name, is_there ? row->revision : 0, m_source.encode_order(order)});
+    if (!outcome)
+        return outcome.reason();
+    if (!outcome->written)
+        return error(error_code::conflict,
+                     "another order for \"" + order.service + "\" came first",
+                     "look at it, then order again");
+    auto taken = order;
+    taken.revision = outcome->revision;
+    order_seen(taken);
+    return taken.revision;
+}
+
 bool rollout_keeper::complete(const rollout_record& record)
 {
     const auto& service = record.order.service;
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -1,5 +1,6 @@
 #include "tillerhall/node/mesh_node.hpp"
 #include "tillerhall/control/report_controller.hpp"
+#include "tillerhall/control/rollout_api.hpp"
 #include "tillerhall/control/rollout_reporter.hpp"
 #include "tillerhall/core/await.hpp"
 #include "tillerhall/http/api_server.hpp"
@@ -134,6 +135,8 @@
             std::make_unique<rollout_decider>(*mesh, *book, *keeper, is_reader);
         run_reporter = std::make_unique<rollout_reporter>(
             *mesh, *book, *decider, targets, *owner);
+        rollouts = std::make_unique<rollout_api>(*book, *decider, *keeper,
+                                                 adapter.operator_token);
         book->add_methods();
         decider->add_methods();
         book->on_change([this] { publish_targets(); });
@@ -251,8 +254,8 @@
             response.body = board.metrics.text();
             return response;
         }
-        if (request.method == "GET" && request.path == "/rollouts")
-            return respond(200, {{"rollouts", decider->account()}});
+        if (auto answer = rollouts->answer(request))
+            return std::move(*answer);
         const auto report = adapter.read_report(request);
         if (!report)
             return respond(404, {{"detail", "no such path"}});
@@ -375,6 +378,7 @@
     std::unique_ptr<rollout_keeper> keeper;
     std::unique_ptr<rollout_decider> decider;
     std::unique_ptr<rollout_reporter> run_reporter;
+    std::unique_ptr<rollout_api> rollouts;
     std::unique_ptr<call_entry> entry;
 };
 
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -1,11 +1,11 @@
 #include "tillerhall/node/operator_api.hpp"
 #include "tillerhall/node/operator_json.hpp"
+#include "tillerhall/node/operator_token.hpp"
 #include "tillerhall/table/csv.hpp"
 
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
-#include <openssl/crypto.h>
 
 namespace tillerhall
 {
@@ -119,11 +119,7 @@
 
 bool operator_api::is_authorized(const http_request& request) const
 {
-    const auto expected = "Bearer " + m_token;
-    const auto& given = request.authorization;
-    // Compared in constant time, so that answers do not leak the token.
-    return !m_token.empty() && given.size() == expected.size() &&
-           CRYPTO_memcmp(given.data(), expected.data(), given.size()) == 0;
+    return brings_token(request, m_token);
 }
 
 http_response operator_api::ready(const http_request&)
--- a/tests/integration/rollouts.cpp
+++ b/tests/integration/rollouts.cpp
@@ -7,6 +7,7 @@
 #include "mesh_system.hpp"
 
 #include <algorithm>
+#include <future>
 
 using namespace tillerhall;
 using namespace tillerhall::harness;
@@ -34,8 +35,8 @@
  * clients that call all the while. */
 struct rollout_system : mesh_system
 {
-    explicit rollout_system(worker& on)
-        : mesh_system(on, services())
+    explicit rollout_system(worker& on, const std::string& more_settings = {})
+        : mesh_system(on, services(), more_settings)
     {
         configure(1, {{"fields", "/fields/", "perceel", "safe", 2000, 2},
                       {"sales", "/sales/", "perceel", "unsafe", 2000, 2}});
@@ -388,3 +389,56 @@
             CHECK(system.within_exposure());
         });
 }
+
+TEST_CASE("operators order, watch and take back a roll-out through any node")
+{
+    on_worker(
+        [](worker& on)
+        {
+            std::string token_file =
+                std::filesystem::temp_directory_path() / "tillerhall-XXXXXX";
+            ::close(::mkstemp(token_file.data()));
+            std::ofstream(token_file) << "secret\n";
+            rollout_system system(
+                on, "operators:\n  token_file: " + token_file + "\n");
+            const auto tiller =
+                [&](std::vector<std::string> words, bool with_token = true)
+            {
+                words.insert(words.begin(),
+                             {program_folder() + "/tiller", "rollout"});
+                words.insert(
+                    words.end(),
+                    {"--node", system.hosts()[3].at["operators"].text()});
+                if (with_token)
+                    words.insert(words.end(), {"--token-file", token_file});
+                // The store is on this thread, so the program waits on another.
+                auto ended = std::async(std::launch::async,
+                                        [words] { return run(words); });
+                while (ended.wait_for(milliseconds(0)) !=
+                       std::future_status::ready)
+                    sleep_for(on.io(), milliseconds(10));
+                return ended.get();
+            };
+            CHECK(tiller({}).out.find("no roll-out") != std::string::npos);
+            CHECK(tiller({"start", "perceel", "v2"}, false).code == 1);
+            CHECK(tiller({"start", "perceel", "v2", "--timeout", "1"}).code ==
+                  1);
+            CHECK(tiller({"dance"}).code == 2);
+            CHECK(tiller({"abort", "perceel"}).code == 1);
+            CHECK(system.state_of("v2").empty());
+
+            system.ordered = steady_clock::now();
+            CHECK(tiller({"start", "perceel", "v2", "--timeout", "30"}).code ==
+                  0);
+            system.start_release("v2");
+            system.press(std::chrono::seconds(2), [] { return false; });
+            const auto seen = tiller({"list"}).out;
+            CHECK(seen.find("perceel: v1 -> v2  running") != std::string::npos);
+            CHECK(seen.find("failed") != std::string::npos); // its evidence
+            CHECK(tiller({"abort", "perceel"}).code == 0);
+            REQUIRE(system.wait_until(
+                [&] { return system.state_of("v1") == "completed"; }));
+            CHECK(system.stays_closed());
+            std::filesystem::remove(token_file);
+        });
+}
