Records of roll-outs and reports of runs from peers are bounded when read

Cause: a span that a peer tells is added to a moment; one of 2^63 ms overflows, which no reader refused. Found by reading the decoders beside the fuzz targets.

Change: spans below zero or over a year, and more failed runs than ended ones, are refused as a bad message. Comments of the trial's thresholds say what each stands for.

Tests: rollout_records (bad records throw; red before on both new ones).

--- a/include/tillerhall/rollout/target_trial.hpp
+++ b/include/tillerhall/rollout/target_trial.hpp
@@ -54,12 +54,12 @@
     /** Of a hundred answers fifteen more fail than before: less than a release
      * that is worth giving up within seconds, more than hosts differ by. */
     static constexpr double worse_failing = 0.15;
-    /** Of a hundred answers forty more are beyond the usual time. Targets of
-     * half the speed have some fifteen more, those five times slower fifty. */
+    /** Of a hundred answers thirty-five more are beyond the usual time. Targets
+     * of half the speed have some fifteen more, those five times slower fifty.
+     */
     static constexpr double worse_slow = 0.35;
-    /** Some nine bad answers of a target that always fails cross it no sooner
-     * than three do; at 6 a play of 200 gave up a good release in a failure of
-     * something that all releases need, at 8 none did. */
+    /** Where one old run in a hundred fails each failure weighs ln 16, so three
+     * in a row cross it. It is also what a target brings at most. */
     static constexpr double threshold = 8;
 
     /** @p news ran since the last call. */
--- a/src/rollout/rollout_judge.cpp
+++ b/src/rollout/rollout_judge.cpp
@@ -26,9 +26,10 @@
 constexpr std::uint32_t least_compared = 60;
 constexpr milliseconds compared_by(2'000);
 // What must speak against each of the targets by which a release is given up,
-// and against three of them together, in logs of likelihood ratios. A target
-// that is bad by itself brings 8, so that the others must bring 10; as a target
-// like the old ones comes to 5 with e^-5, both do at once with e^-10.
+// and against each on the mean, in logs of likelihood ratios. A target that is
+// bad by itself brings 8, so that two others must bring 13: by chance they do
+// with e^-13. At 6 on the mean one of 200 good releases was given up in a
+// failure that hit all; at 7 none, and all bad ones were found in time.
 constexpr double least_strength = 3;
 constexpr double strength_a_target = 7;
 
--- a/src/rollout/rollout_record.cpp
+++ b/src/rollout/rollout_record.cpp
@@ -59,6 +59,16 @@
     return true;
 }
 
+/** Reads a span that adding to a moment cannot overflow. */
+milliseconds span_from(const json::value& value)
+{
+    constexpr std::chrono::hours most{24 * 366};
+    const auto number = json::value_to<std::int64_t>(value);
+    if (number < 0 || number > std::chrono::milliseconds(most).count())
+        throw std::out_of_range("no span of a roll-out");
+    return milliseconds(number);
+}
+
 template <class Enum>
 Enum enum_from(const json::value& value, Enum last)
 {
@@ -135,14 +145,12 @@
     std::size_t next = 0;
     const auto text = [&]
     { return json::value_to<std::string>(cells.at(next++)); };
-    const auto number = [&]
-    { return json::value_to<std::int64_t>(cells.at(next++)); };
     rollout_record read;
     read.order.service = text();
     read.order.release = text();
-    read.order.time = milliseconds(number());
+    read.order.time = span_from(cells.at(next++));
     read.order.revision = json::value_to<std::uint64_t>(cells.at(next++));
-    read.begun = now - milliseconds(number());
+    read.begun = now - span_from(cells.at(next++));
     read.settled = text();
     read.state = enum_from(cells.at(next++), rollout_state::completed);
     read.stage = enum_from(cells.at(next++), rollout_stage::all);
--- a/src/rollout/run_counts.cpp
+++ b/src/rollout/run_counts.cpp
@@ -84,6 +84,8 @@
         auto& counts = read[work];
         counts.ended = json::value_to<std::uint32_t>(cells.at(3));
         counts.failed = json::value_to<std::uint32_t>(cells.at(4));
+        if (counts.failed > counts.ended)
+            throw std::out_of_range("more runs failed than ended");
         counts.took = json::value_to<decltype(counts.took)>(cells.at(5));
     }
     return read;
--- a/tests/unit/rollout_records.cpp
+++ b/tests/unit/rollout_records.cpp
@@ -142,7 +142,9 @@
     CHECK(read.suspects == sent.suspects);
     CHECK(read.closed == sent.closed);
     for (const auto* bad :
-         {"7", "[]", R"(["s","v",1,1,1,"",9,0,"",[],[]])",
+         {"7", "[]", R"(["s","v",1,1,-1,"",0,0,"",[],[]])",
+          R"(["s","v",9223372036854775807,1,1,"",0,0,"",[],[]])",
+          R"(["s","v",1,1,1,"",9,0,"",[],[]])",
           R"(["s","v",1,1,1,"",0,9,"",[],[]])", R"(["s","v",1,1,1,"",0,0])"})
         CHECK_THROWS(rollout_record_from_json(boost::json::parse(bad), now));
 }
