Only who may write a roll-out's state writes it, and tells what the store says

Cause: when all nodes start at once each reads the order. Each then told all others what the store said, and tried to write the state for as long as the store was away.

Change: the readers of the domains and who decided write and tell; the others keep what they read to themselves, heartbeats and joins do the rest.

Ruled out: a longer pause between tries (the verdict would be written later after an outage).

--- a/include/tillerhall/control/rollout_keeper.hpp
+++ b/include/tillerhall/control/rollout_keeper.hpp
@@ -34,7 +34,7 @@
     void rows_seen(const std::vector<stored_row>& rows);
 
     /** This node found the state of @p service 's roll-out: it writes it. */
-    void keep(const std::string& service) { m_kept_here.insert(service); }
+    void keep(const std::string& service) { m_decided_here.insert(service); }
 
     /**
      * Writes an order into the store, in place of the one that is there.
@@ -50,12 +50,20 @@
 
 private:
     void keep_loop();
-    /** Reads and writes until the row says what @p service 's record says. */
+    /** Reads the state of an order that was seen here; who decided or reads for
+     * others writes until the row says what the record says. */
     void keep_one(const std::string& service);
+    /** Every node sees the order when all start at once: after a loss of all,
+     * with the store away again, 120 nodes that tried to write would make some
+     * 400 calls a second. */
+    bool may_write(const std::string& service) const;
     bool read_verdict(const std::string& service);
     void take_verdict(const rollout_record& known, const stored_verdict& read);
     bool write(const rollout_record& record, rollout_state state);
     void order_seen(const rollout_order& order);
+    /** Takes what the store said; who may write tells all nodes of it. When all
+     * start at once, each would tell all others the same. */
+    void read_from_store(const rollout_record& read);
 
     mesh_state& m_mesh;
     rollout_book& m_book;
@@ -64,7 +72,7 @@
     std::function<bool()> m_reads_for_others;
     std::map<std::string, std::uint64_t> m_orders;  ///< revisions seen here
     std::map<std::string, stored_verdict> m_stored; ///< as last read or written
-    std::set<std::string> m_kept_here;
+    std::set<std::string> m_decided_here;           ///< services
     std::set<std::string> m_refused; ///< keys of orders that were refused
 };
 
--- a/src/control/rollout_keeper.cpp
+++ b/src/control/rollout_keeper.cpp
@@ -67,8 +67,7 @@
     seen = order.revision;
     const auto* known = m_book.find(order.service);
     if (known == nullptr || known->order.revision < order.revision)
-        m_book.learn(record_of(order), "store");
-    m_kept_here.insert(order.service);
+        read_from_store(record_of(order));
     m_mesh.on.spawn([this, service = order.service] { keep_one(service); });
 }
 
@@ -79,13 +78,19 @@
         sleep_for(m_mesh.on.io(), keep_pause);
         std::set<std::string> due;
         for (const auto& [service, record] : m_book.records())
-            if (m_kept_here.contains(service) || m_reads_for_others())
+            if (may_write(service) || (record.state == rollout_state::unread &&
+                                       m_orders.contains(service)))
                 due.insert(service);
         for (const auto& service : due)
             keep_one(service);
     }
 }
 
+bool rollout_keeper::may_write(const std::string& service) const
+{
+    return m_decided_here.contains(service) || m_reads_for_others();
+}
+
 void rollout_keeper::keep_one(const std::string& service)
 {
     const auto* record = m_book.find(service);
@@ -102,6 +107,8 @@
     if (record == nullptr || record->order.revision != revision ||
         record->state == rollout_state::unread)
         return;
+    if (!may_write(service))
+        return;
     const auto& last = m_stored.at(service);
     const bool is_told = last.revision > revision &&
                          last.release == record->order.release &&
@@ -156,7 +163,15 @@
     }
     if (is_of_order && is_ended(read.state))
         next.reason = "by the store";
-    m_book.learn(next, "store");
+    read_from_store(next);
+}
+
+void rollout_keeper::read_from_store(const rollout_record& read)
+{
+    if (may_write(read.order.service))
+        m_book.learn(read, "store");
+    else
+        m_book.hear({read});
 }
 
 bool rollout_keeper::write(const rollout_record& record, rollout_state state)
--- a/tests/integration/rollouts.cpp
+++ b/tests/integration/rollouts.cpp
@@ -23,10 +23,11 @@
 constexpr double exposure = 0.1;
 constexpr std::size_t slack = 50;
 
-std::vector<std::string> services()
+/** @param entries hosts of another service, for calls only */
+std::vector<std::string> services(std::size_t entries)
 {
     std::vector<std::string> all(old_targets + new_targets, "perceel");
-    all.emplace_back("beurs");
+    all.resize(all.size() + entries, "beurs");
     return all;
 }
 
@@ -34,8 +35,10 @@
  * clients that call all the while. */
 struct rollout_system : mesh_system
 {
-    explicit rollout_system(worker& on, const std::string& more_settings = {})
-        : mesh_system(on, services(), more_settings)
+    explicit rollout_system(worker& on,
+                            const std::string& more_settings = {},
+                            std::size_t entries = 1)
+        : mesh_system(on, services(entries), more_settings)
     {
         configure(1, {{"fields", "/fields/", "perceel", "safe", 2000, 2},
                       {"sales", "/sales/", "perceel", "unsafe", 2000, 2}});
@@ -350,6 +353,40 @@
         });
 }
 
+TEST_CASE("while the store is away only few nodes try to write a verdict")
+{
+    on_worker(
+        [](worker& on)
+        {
+            // More hosts than may speak for their domains while nobody can.
+            rollout_system system(on, "", 5);
+            system.order("v2");
+            REQUIRE(system.wait_until(
+                [&] { return system.state_of("v2") == "running"; }));
+            // All read the order at their start.
+            for (auto& each : system.hosts())
+                each.node.kill();
+            for (auto& each : system.hosts())
+                system.start_node(each);
+            for (auto& each : system.hosts())
+                REQUIRE(
+                    system.wait_until([&] { return system.is_ready(each); }));
+            system.press(std::chrono::seconds(1), [] { return false; });
+            system.store().faults().down = true;
+            system.start_release("v2", failing(0.6));
+            system.press(std::chrono::seconds(3), [] { return false; });
+            // Writes name their table in the body.
+            const auto before = system.store().calls_on("");
+            constexpr int span_s = 4;
+            system.press(std::chrono::seconds(span_s), [] { return false; });
+            const auto calls = system.store().calls_on("") - before;
+            CHECK(calls > 0);
+            // Three candidates a domain, of three, each 0.3 s.
+            constexpr unsigned writers = 9;
+            CHECK(calls <= writers * (span_s * 10 / 3 + 1));
+        });
+}
+
 TEST_CASE("a newer order replaces one; what was sent back stays closed")
 {
     on_worker(
