--- a/include/tillerhall/node/settings.hpp
+++ b/include/tillerhall/node/settings.hpp
@@ -63,7 +63,8 @@
 
     std::string policy = "two_choices";
 
-    /** See `rollout_plan`; a tenth is the users' bound. */
+    /** See `rollout_plan`. At a tenth a release that fails always costs as much
+     * in the whole time of its order as one let in at once in a tenth of it. */
     double exposure_share = 0.1;
 
     /** By service; a service without one has the default. */
