Owners log the rate limit that their target names

The logs could not tell what a target had said of itself, nor how many requests an owner had sent it. The response's fields for a rate limit and for a planned stop are decoded by name (names of the platform in platform/, native ones for others); an owner logs when a limit begins, changes and ends, an invalid one once a start, and counts its sends. The limit of a start is tracked by what was sent after what was received, as responses overlap. Nothing acts on it yet.

Stand-in targets name a limit and a planned stop and record arrivals.

--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -12,6 +12,7 @@
 #include "tillerhall/proxy/recent_runs.hpp"
 #include "tillerhall/proxy/run_registry.hpp"
 #include "tillerhall/proxy/run_statistics.hpp"
+#include "tillerhall/proxy/target_notices.hpp"
 #include "tillerhall/proxy/wire_names.hpp"
 #include "tillerhall/routing/answer_sizes.hpp"
 #include "tillerhall/routing/cold_rate_limiter.hpp"
@@ -201,6 +202,7 @@
     byte_backlog m_incoming;
     run_registry m_runs;
     run_statistics m_run_stats;
+    target_notices m_notices;
     run_estimates m_run_times;
     answer_sizes m_answer_sizes;
     byte_backlog m_reserved_answers; ///< of the active runs
@@ -215,6 +217,7 @@
     failure_shedder m_shedder;
     random_source m_random{entropy_seed()};
     latency_histogram& m_waits;
+    metric& m_sends;
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/proxy/wire_names.hpp
+++ b/include/tillerhall/proxy/wire_names.hpp
@@ -27,6 +27,10 @@
     std::string success_seal;
     /** Client account of a call; set by the mesh. */
     std::string account = "Tillerhall-Account";
+    /** Requests a second that a target takes from all nodes together. */
+    std::string rate_limit = "Tillerhall-Rate-Limit";
+    /** "1" in all responses of a target that is going to stop. */
+    std::string leaving = "Tillerhall-Target-Leaving";
 };
 
 /** Fields that only nodes exchange, in a request to an owner. */
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -89,7 +89,9 @@
     , m_worker(on)
     , m_admission(limits_for(1))
     , m_pool(on.io(), max_idle, own_ip)
+    , m_notices(names, board)
     , m_waits(board.metrics.histogram(wait_metric, "from=\"peer\""))
+    , m_sends(board.metrics.get(target_sends_metric))
 {
 }
 
@@ -99,6 +101,7 @@
     {
         m_admission.set_limits(limits_for(target->slots));
         m_run_stats.set_target(target->start());
+        m_notices.set_target(target->start());
     }
     m_is_up = true;
 }
@@ -405,9 +408,14 @@
         m_targets.has_departed(target.start()))
         return refuse(call, "too_late_to_send");
     auto sent = request_to_target(request, call, target);
+    const auto sent_at = steady_clock::now();
+    m_sends.add();
     auto result =
         exchange(**stream, sent,
                  {call.deadline, m_names.request_id, call.request_id}, scope);
+    // 421 is the response of another start at the same address.
+    if (result.response && result.response->result_int() != status_misdirected)
+        m_notices.take(target.start(), *result.response, sent_at);
     if (result.reusable)
     {
         const auto idle_timeout = keep_alive_timeout(*result.response);
--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -163,6 +163,8 @@
 {
     if (call.head()["X-Expect-Instance"] != m_id)
         return read_rest(call) && send(call, 421, true);
+    m_arrivals.push_back(
+        {std::string(call.head()[id_field]), m_id, steady_clock::now()});
     if (consume(m_faults.early_answers))
     {
         m_runs.push_back(
@@ -203,6 +205,10 @@
     whole_response response(static_cast<http::status>(status), 11);
     response.set(id_field, call.head()[id_field]);
     response.set("X-Instance-Id", m_id);
+    if (!m_faults.rate_limit.empty())
+        response.set("Server-Limit", m_faults.rate_limit);
+    if (m_faults.leaving)
+        response.set("Server-Leaving", "1");
     if (not_run)
         response.set("X-Not-Executed", "1");
     else if (!consume(m_faults.unsealed_answers))
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -31,6 +31,8 @@
     std::string failing_prefix;       ///< only paths with this prefix fail
     unsigned failing_concurrency = 0; ///< at least so many concurrent runs
     time_point failing_from{};        ///< no run fails before this time
+    std::string rate_limit;           ///< Server-Limit in answers, if not empty
+    bool leaving = false;             ///< Server-Leaving in answers
 };
 
 /** One recorded run. */
@@ -46,6 +48,14 @@
     std::string key;     ///< Authorization header, if forwarded
 };
 
+/** One request that arrived, whether it ran or not. */
+struct target_arrival
+{
+    std::string id;
+    std::string target_id; ///< the start at which it arrived
+    time_point at{};
+};
+
 /** A target that reports to a node and seals its responses. */
 class reporting_target
 {
@@ -62,6 +72,11 @@
     void set_start_time_ms(std::uint64_t at) { m_start_time_ms = at; }
     target_faults& faults() noexcept { return m_faults; }
     const std::vector<target_run>& runs() const noexcept { return m_runs; }
+    /** Requests that named this target as the expected one. */
+    const std::vector<target_arrival>& arrivals() const noexcept
+    {
+        return m_arrivals;
+    }
 
     /** Restarts with a new instance id at the same address. */
     void restart(std::string id);
@@ -104,6 +119,7 @@
     double m_failure_carry = 0; ///< fraction of a failure, for the next run
     target_faults m_faults;
     std::vector<target_run> m_runs;
+    std::vector<target_arrival> m_arrivals;
     std::uint64_t m_sequence = 0;
     std::set<tcp_stream*> m_streams; ///< open connections
     std::vector<std::unique_ptr<listener>> m_closed_listeners;
