A worker's result outlives the notification of its waiter

Cause: run_on kept the promise on the waiting fiber's stack. The other worker marks the result ready, unlocks and then notifies; a waiter that asks in between finds the result, goes on and frees the shared state under it. Kernel log: faults in wait_queue::notify_all and context::wake.

Fix: the task shares the promise.

--- a/include/tillerhall/core/worker.hpp
+++ b/include/tillerhall/core/worker.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/fiber/future/promise.hpp>
 #include <functional>
+#include <memory>
 #include <vector>
 
 namespace tillerhall
@@ -85,9 +86,12 @@
 template <class Body>
 auto run_on(worker& other, Body body)
 {
-    boost::fibers::promise<decltype(body())> promised;
-    auto awaited = promised.get_future();
-    other.spawn([&] { promised.set_value(body()); });
+    // Shared with the task: this fiber may go on, and would destroy the
+    // promise, while `set_value` still notifies it.
+    const auto promised =
+        std::make_shared<boost::fibers::promise<decltype(body())>>();
+    auto awaited = promised->get_future();
+    other.spawn([promised, &body] { promised->set_value(body()); });
     return awaited.get();
 }
 
