An owner that restarts keeps the rate limit that entries know

Callers saw nothing; a target that named 2 requests a second got 47 in 4 s around a restart of the node beside it, 17 allowed.

Cause: the limit was known to the owner's process alone, and a new one sends until the first response tells it again: one call for each slot. The entries had passed the limit on to clients and were bound by it.

Fix: an owner sends what its target has named with its answers, an entry keeps it by owner and sends it with later calls, and an owner that has had no response of that start yet adopts it. So each call of an entry that knows a limit brings it along, without a message or a row of its own. It is bound to the start: a new start of the target has no limit. A stale one lasts until the first response.

Weighed: the limit in member records. It changes too often for broadcasts, and an entry could still be ahead of them.

--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -4,6 +4,7 @@
 #include "tillerhall/node/blackboard.hpp"
 #include "tillerhall/proxy/caller_check.hpp"
 #include "tillerhall/proxy/client_answers.hpp"
+#include "tillerhall/proxy/constraint_memory.hpp"
 #include "tillerhall/proxy/entry_log.hpp"
 #include "tillerhall/proxy/owner_choice.hpp"
 #include "tillerhall/proxy/target_owner.hpp"
@@ -196,6 +197,7 @@
     entry_log m_log;
     random_source m_random{entropy_seed()};
     refusal_cache m_refusals;
+    constraint_memory m_constraints;
     recent_runs m_recent_good_calls;
     stream_pool m_pool;
     share_sequence m_shares;
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tillerhall/http/whole_message.hpp"
+#include "tillerhall/proxy/target_constraints.hpp"
 #include "tillerhall/routing/call_route.hpp"
 #include "tillerhall/routing/target_board.hpp"
 #include "tillerhall/routing/work_class.hpp"
@@ -42,6 +43,8 @@
     duration elapsed{};    ///< since the client's first try; 0 on a first try
     bool nested = false;   ///< made by a target in the course of a run
     bool is_probe = false; ///< shows whether a quarantined call still crashes
+    /** What the entry knows of the owner's target. */
+    std::optional<target_constraints> constraints;
 
     /** @return the priority in the queue: account rank, then route rank. */
     std::uint32_t urgency() const noexcept
@@ -81,6 +84,7 @@
     bool target_crashed = false;      ///< while the call ran there
     duration retry_after{};           ///< for a refusal
     load_report report;
+    std::optional<target_constraints> constraints; ///< of the target
 };
 
 /** Reason for refusing a quarantined call. */
--- a/include/tillerhall/proxy/target_notice.hpp
+++ b/include/tillerhall/proxy/target_notice.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/beast/http/fields.hpp>
 #include <optional>
+#include <string_view>
 
 namespace tillerhall
 {
@@ -19,8 +20,10 @@
     bool is_leaving = false;
 };
 
-/** Reads the notice in @p fields. A valid limit is one finite decimal number
- * of at least 0. */
+/** @return the finite decimal number of at least 0 in @p text. */
+std::optional<double> parse_rate(std::string_view text);
+
+/** Reads the notice in @p fields. A limit is valid if it is one rate. */
 target_notice read_notice(const boost::beast::http::fields& fields,
                           const wire_names& names);
 
--- a/include/tillerhall/proxy/target_notices.hpp
+++ b/include/tillerhall/proxy/target_notices.hpp
@@ -36,6 +36,9 @@
               const boost::beast::http::fields& head,
               time_point sent);
 
+    /** Takes a limit that @p start named to an earlier owner. */
+    void adopt(const std::string& start, double rate_limit);
+
     /** @return requests a second; unset without a limit. */
     const std::optional<double>& rate_limit() const noexcept
     {
@@ -43,7 +46,8 @@
     }
 
 private:
-    void log_limit(const target_notice& notice) const;
+    /** Publishes a changed limit. */
+    void limit_changed(const char* reason) const;
     /** Logs the first invalid limit of a start. */
     void log_invalid_limit(const boost::beast::http::fields& head);
 
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -172,6 +172,11 @@
     duration max_wait_of(const owner_call& call) const;
     /** Reports only as many slots as @p per_s calls a second can fill. */
     void limit_slots(load_report& report, double per_s) const;
+    /** Applies what an entry knows of the target. */
+    void apply_constraints(const owner_call& call);
+    /** @return what @p start has said, for the entry. */
+    std::optional<target_constraints>
+    constraints_of(const std::string& start) const;
     /** Applies what the target says about itself in a response. */
     void take_notice(const target_report& target,
                      const whole_response& response,
--- a/include/tillerhall/proxy/wire_names.hpp
+++ b/include/tillerhall/proxy/wire_names.hpp
@@ -51,6 +51,10 @@
 inline constexpr const char* nested = "Tillerhall-Nested"; ///< if made by a run
 inline constexpr const char* elapsed_ms = "Tillerhall-Elapsed-Ms"; ///< if not 0
 inline constexpr const char* probe = "Tillerhall-Trial"; ///< if it is a probe
+// In both directions, see `target_constraints`:
+inline constexpr const char* target_start = "Tillerhall-Target-Start";
+inline constexpr const char* target_limit = "Tillerhall-Target-Limit";
+inline constexpr const char* target_leaving = "Tillerhall-Target-Left";
 /** Marks a load query; nothing runs. */
 inline constexpr const char* query = "Tillerhall-Asks";
 /** In a load query: bytes of a body that needs a transfer slot. */
--- a/include/tillerhall/routing/named_rate_limit.hpp
+++ b/include/tillerhall/routing/named_rate_limit.hpp
@@ -30,6 +30,13 @@
      */
     bool take(std::optional<double> per_s, time_point sent, time_point now);
 
+    /**
+     * Takes a limit that the start named to another process. It counts until
+     * the first response of the start.
+     * @return whether the limit has changed
+     */
+    bool adopt(double per_s, time_point now);
+
     /** @return requests a second; unset without a limit. */
     const std::optional<double>& per_s() const noexcept { return m_per_s; }
 
@@ -41,6 +48,7 @@
     std::string m_start;
     std::optional<double> m_per_s;
     time_point m_set_at{};
+    bool m_has_response = false; ///< of the current start
 };
 
 } // namespace tillerhall
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -443,6 +443,7 @@
     const auto begin = steady_clock::now();
     m_targets.started(owner.rpc);
     m_refusals.asked(owner.rpc, state.refusal_key(), begin);
+    state.call.constraints = m_constraints.of(owner.rpc);
     auto answer = owner.rpc == m_config.own
                       ? m_local.run(request.message, state.call, scope)
                       : send_to_peer(request, state, owner, scope);
@@ -452,6 +453,7 @@
                      state.call.work(),
                      answer.response ? answer.response->body().size() : 0},
                     now);
+    m_constraints.answered(owner.rpc, answer);
     record_refusal(state, owner, answer, now);
     update_exposure_permits(state, answer.reached);
     if (answer.reached)
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -119,6 +119,7 @@
     }
     if (call.is_probe)
         request.set(hop_field::probe, "1");
+    write_constraints(request, call.constraints);
 }
 
 std::optional<owner_call> take_hop_fields(received_request& request,
@@ -153,6 +154,7 @@
                 .value_or(0);
     }
     call.is_probe = message.count(hop_field::probe) != 0;
+    call.constraints = take_constraints(message);
     for (const auto* name : call_fields)
         message.erase(name);
     return call;
@@ -185,6 +187,7 @@
         response.set(hop_field::others_refuse, "1");
     if (answer.target_crashed)
         response.set(hop_field::target_crashed, "1");
+    write_constraints(response, answer.constraints);
     if (!answer.reason.empty())
         response.set(hop_field::reason, answer.reason);
     if (answer.retry_after > duration::zero())
@@ -223,6 +226,7 @@
         number_in<std::int64_t>(response[hop_field::link_backlog_ms])
             .value_or(0));
     answer.report.is_saturated = response.count(hop_field::saturated) != 0;
+    answer.constraints = take_constraints(response);
     if (answer.end != call_end::answered)
         return answer;
     for (const auto* name : answer_fields)
--- a/src/proxy/target_notice.cpp
+++ b/src/proxy/target_notice.cpp
@@ -3,14 +3,11 @@
 
 #include <charconv>
 #include <cmath>
-#include <string_view>
 
 namespace tillerhall
 {
-namespace
-{
 
-std::optional<double> rate_in(std::string_view text)
+std::optional<double> parse_rate(std::string_view text)
 {
     double rate = 0;
     const auto* const end = text.data() + text.size();
@@ -22,15 +19,13 @@
     return rate;
 }
 
-} // namespace
-
 target_notice read_notice(const boost::beast::http::fields& fields,
                           const wire_names& names)
 {
     target_notice notice;
     const auto limits = fields.count(names.rate_limit);
     if (limits == 1)
-        notice.rate_limit = rate_in(fields[names.rate_limit]);
+        notice.rate_limit = parse_rate(fields[names.rate_limit]);
     notice.has_invalid_limit = limits != 0 && !notice.rate_limit;
     notice.is_leaving = fields[names.leaving] == "1";
     return notice;
--- a/src/proxy/target_notices.cpp
+++ b/src/proxy/target_notices.cpp
@@ -43,16 +43,23 @@
         return log_invalid_limit(head);
     if (!m_limit.take(notice.rate_limit, sent, steady_clock::now()))
         return;
-    log_limit(notice);
-    m_board.metrics.get(rate_limit_metric).set(per_1000_s(rate_limit()));
+    limit_changed(notice.rate_limit ? "named by the target"
+                                    : "no longer named");
 }
 
-void target_notices::log_limit(const target_notice& notice) const
+void target_notices::adopt(const std::string& start, double rate_limit)
 {
+    if (start == m_limit.target() &&
+        m_limit.adopt(rate_limit, steady_clock::now()))
+        limit_changed("named before this process started");
+}
+
+void target_notices::limit_changed(const char* reason) const
+{
+    m_board.metrics.get(rate_limit_metric).set(per_1000_s(rate_limit()));
     m_board.decisions.note(
-        "target_rate_limit", m_limit.target(),
-        notice.rate_limit ? "named by the target" : "no longer named",
-        {{"per_s", notice.rate_limit.value_or(-1)},
+        "target_rate_limit", m_limit.target(), reason,
+        {{"per_s", rate_limit().value_or(-1)},
          {"sent", m_board.metrics.get(target_sends_metric).value()}});
 }
 
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -303,6 +303,7 @@
 {
     if (call.service != m_service)
         return refuse(call, "not_the_owner_of_this_service");
+    apply_constraints(call);
     if (auto refused = refusal_to_send(call))
         return std::move(*refused);
     if (!m_is_up)
@@ -378,6 +379,7 @@
         m_shedder.ran(answer.response->result_int() == status_server_error,
                       steady_clock::now());
     answer.report = current_load_for(call.work());
+    answer.constraints = constraints_of(start);
     return answer;
 }
 
@@ -449,6 +451,24 @@
     return answer;
 }
 
+void target_owner::apply_constraints(const owner_call& call)
+{
+    if (!call.constraints || !call.constraints->rate_limit)
+        return;
+    m_notices.adopt(call.constraints->start, *call.constraints->rate_limit);
+    m_admission.set_pace(m_notices.rate_limit());
+}
+
+std::optional<target_constraints>
+target_owner::constraints_of(const std::string& start) const
+{
+    const auto* target = m_targets.in_use();
+    if (target == nullptr || target->start() != start ||
+        !m_notices.rate_limit())
+        return std::nullopt;
+    return target_constraints{start, m_notices.rate_limit(), false};
+}
+
 void target_owner::take_notice(const target_report& target,
                                const whole_response& response,
                                time_point sent)
--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -121,7 +121,7 @@
     boost::json::object body{
         {"service", m_service}, {"address", where().text()},
         {"zone", "d1"},         {"version", m_release},
-        {"slots", 4},           {"state", state},
+        {"slots", m_slots},     {"state", state},
         {"sequence", sequence}, {"coldRemaining", m_cold_for.count()}};
     if (m_start_time_ms != 0)
         body["born"] = m_start_time_ms;
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -66,6 +66,8 @@
     const std::string& id() const noexcept { return m_id; }
     /** Sets the software version in its reports. */
     void set_release(std::string release) { m_release = std::move(release); }
+    /** Sets the slots in its reports. */
+    void set_slots(std::int64_t slots) { m_slots = slots; }
     /** Sets the remaining cold time in its reports. */
     void set_cold_for(milliseconds span) { m_cold_for = span; }
     /** Sets the start time in its reports, Unix milliseconds; 0 omits it. */
@@ -113,6 +115,7 @@
     std::string m_id;
     std::string m_service;
     std::string m_release = "v1";
+    std::int64_t m_slots = 4;
     milliseconds m_cold_for{0};
     std::uint64_t m_start_time_ms = 0;
     unsigned m_running = 0;
--- a/tests/integration/target_rate_limits.cpp
+++ b/tests/integration/target_rate_limits.cpp
@@ -14,11 +14,13 @@
 // All nodes have passed on a response with a limit by then.
 constexpr milliseconds settle_time(500);
 
-/** Three targets of one service, each beside a node. */
+/** Three nodes with targets; by default all serve the called service. */
 struct three_targets : mesh_system
 {
-    explicit three_targets(worker& on)
-        : mesh_system(on, std::vector<std::string>(3, "perceel"))
+    explicit three_targets(worker& on,
+                           const std::vector<std::string>& services =
+                               std::vector<std::string>(3, "perceel"))
+        : mesh_system(on, services)
     {
         configure(1, {{"fields", "/fields/", "perceel"}});
         start();
@@ -183,3 +185,34 @@
             CHECK(system.arrivals(0, restarted).size() > 20);
         });
 }
+
+TEST_CASE("an owner that restarts keeps the rate limit that entries know")
+{
+    on_worker(
+        [](worker& on)
+        {
+            three_targets system(on, {"perceel", "beurs", "beurs"});
+            auto& host = system.hosts()[0];
+            // The first response of the target comes after many calls.
+            host.target->set_slots(40);
+            host.target->report(host.at["operators"], "ready");
+            host.target->faults().work = milliseconds(600);
+            host.target->faults().rate_limit = "2";
+            const auto named = steady_clock::now();
+            open_loop load(system, {.prefix = "o-",
+                                    .path = "/fields/x",
+                                    .per_s = 120,
+                                    .span = std::chrono::seconds(10),
+                                    .entries = {1, 2}});
+            sleep_for(on.io(), std::chrono::seconds(4));
+            host.node.kill();
+            system.start_node(host);
+            REQUIRE(system.wait_until([&] { return system.is_ready(host); }));
+            const auto restarted = steady_clock::now();
+            REQUIRE(host.target->report(host.at["operators"], "ready") == 200);
+            load.finish();
+            CHECK(system.arrivals(0, restarted).size() >= 2);
+            CHECK(system.max_arrivals(0, named + std::chrono::seconds(3)) <=
+                  allowed_in_window(2));
+        });
+}
--- a/tests/unit/target_notice.cpp
+++ b/tests/unit/target_notice.cpp
@@ -5,6 +5,7 @@
  * target, or forgotten because responses overlap.
  */
 #include "tillerhall/proxy/target_notice.hpp"
+#include "tillerhall/proxy/constraint_memory.hpp"
 #include "tillerhall/proxy/wire_names.hpp"
 #include "tillerhall/routing/named_rate_limit.hpp"
 
@@ -94,3 +95,55 @@
     limit.set_target("i-2");
     CHECK_FALSE(limit.per_s());
 }
+
+TEST_CASE("a limit told by an entry counts until the target's first response")
+{
+    const time_point start{std::chrono::hours(1)};
+    const auto at = [&](int ms) { return start + milliseconds(ms); };
+    named_rate_limit limit;
+    limit.set_target("i-1");
+    CHECK(limit.adopt(10.0, at(0)));
+    CHECK(limit.adopt(8.0, at(1)));
+    CHECK_FALSE(limit.adopt(12.0, at(2)));
+    CHECK(limit.per_s() == 8.0);
+    CHECK(limit.take(std::nullopt, at(5), at(20)));
+    CHECK_FALSE(limit.adopt(10.0, at(30)));
+    CHECK_FALSE(limit.per_s());
+}
+
+TEST_CASE("constraints of a target are the same after a hop")
+{
+    boost::beast::http::fields fields;
+    const target_constraints limited{"i-1@17", 17.4, false};
+    const target_constraints leaving{"i-2", std::nullopt, true};
+    for (const auto& each : {limited, leaving})
+    {
+        write_constraints(fields, each);
+        CHECK(take_constraints(fields) == each);
+        CHECK(fields.begin() == fields.end());
+    }
+    write_constraints(fields, limited);
+    write_constraints(fields, std::nullopt);
+    CHECK_FALSE(take_constraints(fields));
+}
+
+TEST_CASE("an entry forgets constraints only when the target has answered")
+{
+    const address owner{"127.0.0.1", 1};
+    constraint_memory memory;
+    owner_answer answer;
+    answer.end = call_end::answered;
+    answer.constraints = target_constraints{"i-1", 5.0, false};
+    memory.answered(owner, answer);
+    answer.constraints.reset();
+    for (const auto end : {call_end::not_run, call_end::unknown,
+                           call_end::timed_out, call_end::cancelled})
+    {
+        answer.end = end;
+        memory.answered(owner, answer);
+        CHECK(memory.of(owner)->rate_limit == 5.0);
+    }
+    answer.end = call_end::answered;
+    memory.answered(owner, answer);
+    CHECK_FALSE(memory.of(owner));
+}
