A target that says in a response that it is leaving gets no more calls

Cause: the same as for the rate limit: only reports were read, and what a response said of the target was passed on unread.

Fix: the owner records the departure before the answer goes on, as it does for a report, and announces and persists it; a later ready report of that start changes nothing. The answer tells the entry, which sends it back with later calls, so an owner killed right after it learns of it before it sends anything: nothing has to wait for the store.

--- a/include/tillerhall/control/report_controller.hpp
+++ b/include/tillerhall/control/report_controller.hpp
@@ -29,6 +29,11 @@
      */
     bool take(const target_report& report);
 
+    /** Records the departure of a target that told it in a response to a call.
+     * The entries that passed it on know it too, so nothing waits until it is
+     * persisted. */
+    void departure_told(const std::string& start);
+
     /** Called once the departure records of earlier boots are loaded; until
      * then no reported target gets calls. */
     void departures_loaded();
--- a/include/tillerhall/proxy/target_notices.hpp
+++ b/include/tillerhall/proxy/target_notices.hpp
@@ -1,6 +1,7 @@
 /** @file Records what the local target says about itself in its responses. */
 #pragma once
 
+#include "tillerhall/proxy/target_notice.hpp"
 #include "tillerhall/routing/named_rate_limit.hpp"
 
 #include <boost/beast/http/fields.hpp>
@@ -9,7 +10,6 @@
 {
 
 struct blackboard;
-struct target_notice;
 struct wire_names;
 
 /** Gauge of the limit in requests per 1000 s; -1 without one. */
@@ -31,14 +31,18 @@
     /**
      * Takes the head of a response of @p start; ignores other starts.
      * @param sent when its request was sent
+     * @return what it says
      */
-    void take(const std::string& start,
-              const boost::beast::http::fields& head,
-              time_point sent);
+    target_notice take(const std::string& start,
+                       const boost::beast::http::fields& head,
+                       time_point sent);
 
     /** Takes a limit that @p start named to an earlier owner. */
     void adopt(const std::string& start, double rate_limit);
 
+    /** @return the current start of the target. */
+    const std::string& target() const noexcept { return m_limit.target(); }
+
     /** @return requests a second; unset without a limit. */
     const std::optional<double>& rate_limit() const noexcept
     {
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -52,6 +52,14 @@
         m_on_change = std::move(action);
     }
 
+    /** Called with the start of a target that says it is going to stop. */
+    using leaving_callback = std::function<void(const std::string& start)>;
+
+    void set_leaving_callback(leaving_callback action)
+    {
+        m_on_leaving = std::move(action);
+    }
+
     /** Sets the scheduler of large answers, whose backlog is reported. */
     void set_link(const link_scheduler& outgoing, double mbps)
     {
@@ -173,7 +181,9 @@
     /** Reports only as many slots as @p per_s calls a second can fill. */
     void limit_slots(load_report& report, double per_s) const;
     /** Applies what an entry knows of the target. */
-    void apply_constraints(const owner_call& call);
+    void apply_constraints(const target_constraints& known);
+    /** Records that @p start is going to stop. */
+    void target_leaves(const std::string& start);
     /** @return what @p start has said, for the entry. */
     std::optional<target_constraints>
     constraints_of(const std::string& start) const;
@@ -215,6 +225,7 @@
     mutable cold_rate_limiter m_cold_limiter{steady_clock::now()};
     stream_pool m_pool;
     change_callback m_on_change;
+    leaving_callback m_on_leaving;
     byte_backlog m_incoming;
     run_registry m_runs;
     run_statistics m_run_stats;
--- a/src/control/report_controller.cpp
+++ b/src/control/report_controller.cpp
@@ -102,6 +102,17 @@
     return report.state == report_state::ready || persist_departure();
 }
 
+void report_controller::departure_told(const std::string& start)
+{
+    m_targets.record_departure(start);
+    m_mesh.on.spawn(
+        [this]
+        {
+            announce();
+            persist_departure();
+        });
+}
+
 bool report_controller::persist_departure()
 {
     m_directory.write_now();
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -130,6 +130,8 @@
         routes->add_methods();
         quota_counts->add_methods();
         owner->set_change_callback([this] { reporter->announce_changes(); });
+        owner->set_leaving_callback([this](const std::string& start)
+                                    { reporter->departure_told(start); });
         owner->set_link(outgoing, config.link_mbps);
         mesh->routes_changed = [this](const route_view&) { publish_members(); };
         compose_sessions();
--- a/src/proxy/target_notices.cpp
+++ b/src/proxy/target_notices.cpp
@@ -1,6 +1,5 @@
 #include "tillerhall/proxy/target_notices.hpp"
 #include "tillerhall/node/blackboard.hpp"
-#include "tillerhall/proxy/target_notice.hpp"
 #include "tillerhall/proxy/wire_names.hpp"
 
 #include <cmath>
@@ -32,19 +31,19 @@
     m_board.metrics.get(rate_limit_metric).set(per_1000_s(rate_limit()));
 }
 
-void target_notices::take(const std::string& start,
-                          const boost::beast::http::fields& head,
-                          time_point sent)
+target_notice target_notices::take(const std::string& start,
+                                   const boost::beast::http::fields& head,
+                                   time_point sent)
 {
-    if (start != m_limit.target())
-        return;
     const auto notice = read_notice(head, m_names);
+    if (start != m_limit.target())
+        return notice;
     if (notice.has_invalid_limit)
-        return log_invalid_limit(head);
-    if (!m_limit.take(notice.rate_limit, sent, steady_clock::now()))
-        return;
-    limit_changed(notice.rate_limit ? "named by the target"
-                                    : "no longer named");
+        log_invalid_limit(head);
+    else if (m_limit.take(notice.rate_limit, sent, steady_clock::now()))
+        limit_changed(notice.rate_limit ? "named by the target"
+                                        : "no longer named");
+    return notice;
 }
 
 void target_notices::adopt(const std::string& start, double rate_limit)
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -303,7 +303,8 @@
 {
     if (call.service != m_service)
         return refuse(call, "not_the_owner_of_this_service");
-    apply_constraints(call);
+    if (call.constraints)
+        apply_constraints(*call.constraints);
     if (auto refused = refusal_to_send(call))
         return std::move(*refused);
     if (!m_is_up)
@@ -451,30 +452,41 @@
     return answer;
 }
 
-void target_owner::apply_constraints(const owner_call& call)
+void target_owner::apply_constraints(const target_constraints& known)
 {
-    if (!call.constraints || !call.constraints->rate_limit)
+    if (known.is_leaving)
+        target_leaves(known.start);
+    if (!known.rate_limit)
         return;
-    m_notices.adopt(call.constraints->start, *call.constraints->rate_limit);
+    m_notices.adopt(known.start, *known.rate_limit);
     m_admission.set_pace(m_notices.rate_limit());
 }
 
+void target_owner::target_leaves(const std::string& start)
+{
+    if (m_on_leaving && !m_targets.has_departed(start))
+        m_on_leaving(start);
+}
+
 std::optional<target_constraints>
 target_owner::constraints_of(const std::string& start) const
 {
-    const auto* target = m_targets.in_use();
-    if (target == nullptr || target->start() != start ||
-        !m_notices.rate_limit())
-        return std::nullopt;
-    return target_constraints{start, m_notices.rate_limit(), false};
+    target_constraints said{.start = start};
+    said.is_leaving = m_targets.has_departed(start);
+    if (start == m_notices.target())
+        said.rate_limit = m_notices.rate_limit();
+    return said.is_leaving || said.rate_limit ? std::optional(std::move(said))
+                                              : std::nullopt;
 }
 
 void target_owner::take_notice(const target_report& target,
                                const whole_response& response,
                                time_point sent)
 {
-    m_notices.take(target.start(), response, sent);
+    const auto notice = m_notices.take(target.start(), response, sent);
     m_admission.set_pace(m_notices.rate_limit());
+    if (notice.is_leaving)
+        target_leaves(target.start());
 }
 
 bool target_owner::has_crashed(const target_report& target)
