tillerd keeps the rate limit that its target names

Fix: the owner's proxies of all workers share the limit and set the pace of the admission that they share already. Field Tillerhall-Rate-Limit. A call waits within queue_wait_ms or is refused as not run, and the entry takes another target.

Not built here: starts are not told apart on this path, an owner that restarts knows nothing until the first response, and Tillerhall-Target-Leaving is not read: such targets answer their health check with 503.

--- a/include/tillerhall/http/relay.hpp
+++ b/include/tillerhall/http/relay.hpp
@@ -3,6 +3,7 @@
 
 #include "tillerhall/http/inbound_call.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -58,6 +59,8 @@
     std::string request_id;     ///< set in the answer
     std::optional<double> load; ///< set in the answer, for an entry node
     bool store_answer = false;  ///< copy a short complete answer
+    /** Called with the head of the upstream's answer or refusal. */
+    std::function<void(const response_head&)> on_head;
 };
 
 /**
--- a/include/tillerhall/node/owner_proxy.hpp
+++ b/include/tillerhall/node/owner_proxy.hpp
@@ -9,6 +9,7 @@
 #include "tillerhall/node/call_context.hpp"
 #include "tillerhall/node/crash_registry.hpp"
 #include "tillerhall/node/settings.hpp"
+#include "tillerhall/node/target_rate.hpp"
 
 namespace tillerhall
 {
@@ -21,6 +22,7 @@
                 blackboard& board,
                 call_admission& admission_gate,
                 crash_registry& crashes,
+                target_rate& rate,
                 worker& own_worker);
 
     /** Serves calls from another node on @p stream. */
@@ -44,6 +46,8 @@
                               time_point deadline,
                               bool from_peer);
     relay_result refuse(std::string reason) const;
+    /** Refuses a call that was not admitted to a slot. */
+    relay_result refuse_admission(admission_decision decision) const;
     /** Sends @p call to the target on @p stream. */
     relay_result relay(inbound_call& call,
                        const relay_plan& plan,
@@ -56,6 +60,7 @@
     blackboard& m_board;
     call_admission& m_admission;
     crash_registry& m_crash_registry;
+    target_rate& m_rate;
     worker& m_worker;
     stream_pool m_pool;
 };
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -36,7 +36,11 @@
         m_upstream.expires_at(m_plan.deadline);
         const bool sent =
             m_call.has_whole_body() ? send_buffered() : send_streamed();
-        if (sent && read_answer_head() && !handle_refusal())
+        if (!sent || !read_answer_head())
+            return std::move(m_result);
+        if (m_plan.on_head)
+            m_plan.on_head(m_parser->get().base());
+        if (!handle_refusal())
             answer();
         return std::move(m_result);
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -180,7 +180,8 @@
     void compose_calls(call_worker& serving_worker)
     {
         serving_worker.owner = std::make_unique<owner_proxy>(
-            config, board, admission_gate, crashes, serving_worker.event_loop);
+            config, board, admission_gate, crashes, rate,
+            serving_worker.event_loop);
         serving_worker.entry = std::make_unique<entry_proxy>(
             config, board, targets, *serving_worker.owner,
             serving_worker.event_loop, first(), control->claims,
@@ -255,6 +256,7 @@
     blackboard board;
     target_board targets;
     call_admission admission_gate;
+    target_rate rate{board, admission_gate};
     crash_registry crashes;
     std::vector<std::unique_ptr<call_worker>> workers;
     std::unique_ptr<listener> rpc;
--- a/src/node/owner_proxy.cpp
+++ b/src/node/owner_proxy.cpp
@@ -38,11 +38,13 @@
                          blackboard& board,
                          call_admission& admission_gate,
                          crash_registry& crashes,
+                         target_rate& rate,
                          worker& own_worker)
     : m_config(config)
     , m_board(board)
     , m_admission(admission_gate)
     , m_crash_registry(crashes)
+    , m_rate(rate)
     , m_worker(own_worker)
     , m_pool(own_worker.io(), max_idle(config), config.rpc.ip)
 {
@@ -87,6 +89,15 @@
     return refused;
 }
 
+relay_result owner_proxy::refuse_admission(admission_decision decision) const
+{
+    auto refused = refuse(std::string(name_of(decision)));
+    if (decision == admission_decision::rate_exceeded &&
+        m_admission.paced_per_s() > 0)
+        refused.retry_after = seconds_text(m_admission.book_return());
+    return refused;
+}
+
 relay_result
 owner_proxy::refuse_quarantined(const call_quarantine& quarantine) const
 {
@@ -113,7 +124,7 @@
     const auto decision = m_admission.acquire(
         m_worker.io(), {.caller = context.caller, .deadline = deadline});
     if (decision != admission_decision::run)
-        return refuse(std::string(name_of(decision)));
+        return refuse_admission(decision);
     ++m_board.calls_in_flight;
     const auto begin = steady_clock::now();
     auto result = run_admitted(call, context, deadline, from_peer);
@@ -148,6 +159,8 @@
     plan.store_answer = !context.claim_key.empty();
     if (from_peer)
         plan.load = m_admission.load();
+    plan.on_head = [this, sent = steady_clock::now()](const response_head& head)
+    { m_rate.take(head, sent); };
     return relay(call, plan, std::move(*stream));
 }
 
--- a/standins/target/target_standin.cpp
+++ b/standins/target/target_standin.cpp
@@ -19,6 +19,7 @@
 namespace json = boost::json;
 
 constexpr const char* not_run_header = "X-Not-Run";
+constexpr const char* rate_limit_header = "Tillerhall-Rate-Limit";
 constexpr milliseconds sample_interval(20);
 constexpr std::chrono::minutes idle_timeout(5);
 constexpr std::size_t chunk_bytes = 64 * 1024;
@@ -35,6 +36,7 @@
     behaviour_entry{"service_ms", &target_behaviour::service_ms},
     behaviour_entry{"cold_ms", &target_behaviour::cold_ms},
     behaviour_entry{"cold_factor", &target_behaviour::cold_factor},
+    behaviour_entry{"rate_limit", &target_behaviour::rate_limit},
     behaviour_entry{"shed", &target_behaviour::shed},
     behaviour_entry{"drain", &target_behaviour::drain},
     behaviour_entry{"lie_healthy", &target_behaviour::lie_healthy},
@@ -298,6 +300,12 @@
     return true;
 }
 
+void target_standin::name_rate_limit(http::fields& head) const
+{
+    if (m_behaviour.rate_limit >= 0)
+        head.set(rate_limit_header, std::to_string(m_behaviour.rate_limit));
+}
+
 void target_standin::send_answer(inbound_call& call, std::uint64_t bytes)
 {
     const auto request = to_request(call);
@@ -315,6 +323,7 @@
     if (size > 0)
         body["fill"] = std::string(static_cast<std::size_t>(size), 'x');
     response.set(http::field::content_type, "application/json");
+    name_rate_limit(response);
     response.body() = json::serialize(body);
     response.prepare_payload();
     response.keep_alive(call.can_keep_alive());
@@ -338,6 +347,7 @@
     http::response<http::string_body> response(
         http::status::service_unavailable, 11);
     response.set(not_run_header, "1");
+    name_rate_limit(response);
     response.set(http::field::retry_after, "1");
     response.prepare_payload();
     response.keep_alive(call.can_keep_alive());
--- a/standins/target/target_standin.hpp
+++ b/standins/target/target_standin.hpp
@@ -5,6 +5,7 @@
 #include "tillerhall/http/inbound_call.hpp"
 #include "tillerhall/http/message.hpp"
 
+#include <boost/beast/http/fields.hpp>
 #include <boost/json/object.hpp>
 #include <deque>
 #include <map>
@@ -27,6 +28,7 @@
     std::int64_t drain = 0;         ///< 1: /health answers 503, calls still run
     std::int64_t lie_healthy = 0;   ///< 1: /health always answers 200
     std::int64_t fail = 0;          ///< 1: every run answers 500
+    std::int64_t rate_limit = -1;   ///< calls a second, named if at least 0
     std::int64_t hang = 0;          ///< 1: runs never answer
     std::int64_t health_lag_ms = 0; ///< age of the state in /health and /load
     std::int64_t reset_before_answer = 0; ///< next runs that end in a reset
@@ -75,6 +77,7 @@
     void run_call(inbound_call& call);
     bool read_rest(inbound_call& call, std::uint64_t& bytes);
     bool simulate_service(inbound_call& call, std::int64_t ms);
+    void name_rate_limit(boost::beast::http::fields& head) const;
     void send_answer(inbound_call& call, std::uint64_t bytes);
     void send_refusal(inbound_call& call);
     void send_response(inbound_call& call, const http_response& response);
