Paced calls that wait while all slots are taken are granted in time

Seen in a reading: a call that began to wait while all slots were taken slept until its longest wait had passed. If a slot became free just before the pace allowed the next call, nobody granted it then, and the call was refused although both were there. A waiting call looks every 5 ms, or when the pace allows the next call, as long as there is a pace.

--- a/include/tillerhall/routing/admission.hpp
+++ b/include/tillerhall/routing/admission.hpp
@@ -114,8 +114,8 @@
     /** Grants free slots to waiting calls as far as the pace allows. */
     void grant_free_slots(time_point now);
 
-    /** @return when the pace allows the next waiting call, if a slot is free;
-     * the maximum if none is or no call waits. */
+    /** @return when a waiting call must call `grant_free_slots`, because the
+     * pace may allow it then; the maximum without a pace. */
     time_point next_grant(time_point now) const;
 
     std::int64_t in_flight() const noexcept { return m_in_flight; }
--- a/src/proxy/target_notices.cpp
+++ b/src/proxy/target_notices.cpp
@@ -2,6 +2,7 @@
 #include "tillerhall/node/blackboard.hpp"
 #include "tillerhall/proxy/wire_names.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace tillerhall
@@ -12,7 +13,8 @@
 std::int64_t per_1000_s(const std::optional<double>& per_s)
 {
     constexpr double thousand = 1000;
-    return per_s ? std::llround(*per_s * thousand) : -1;
+    constexpr double max_shown = 1e12; // fits the gauge
+    return per_s ? std::llround(std::min(*per_s, max_shown) * thousand) : -1;
 }
 
 } // namespace
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -21,6 +21,8 @@
 constexpr double burst_seconds = 0.1;
 // A call that is granted at the end of its wait learns of it within this time.
 constexpr milliseconds grant_delay(5);
+// A slot may become free just before the pace allows the next call.
+constexpr milliseconds grant_interval(5);
 
 token_bucket make_bucket(double per_second)
 {
@@ -177,9 +179,9 @@
 
 time_point admission::next_grant(time_point now) const
 {
-    return m_in_flight < m_limits.in_flight && m_waiting > 0
-               ? now + m_pacer.wait(now)
-               : time_point::max();
+    if (!m_pacer.is_limited())
+        return time_point::max();
+    return now + std::max<duration>(m_pacer.wait(now), grant_interval);
 }
 
 admission::rank_queue* admission::next_rank()
--- a/tests/unit/paced_target.cpp
+++ b/tests/unit/paced_target.cpp
@@ -293,3 +293,23 @@
             CHECK(urgent.share_in_time() > other.share_in_time());
     }
 }
+
+TEST_CASE("a paced call that waits for a slot is not left until its wait ends")
+{
+    admission limited({.in_flight = 1, .queue = 8, .queue_wait = seconds(9)});
+    CHECK(limited.next_grant(epoch) == time_point::max());
+    limited.set_pace(20.0, epoch);
+    const auto now = epoch + seconds(1);
+    const arriving_call call{.deadline = now + seconds(9)};
+    REQUIRE(limited.arrive(now, call) == admission_decision::run);
+    REQUIRE(limited.arrive(now, call) == admission_decision::wait);
+    admission_waiter waiter;
+    waiter.deadline = call.deadline;
+    waiter.due = call.due;
+    waiter.wake = [] {};
+    limited.enqueue(waiter);
+    CHECK(limited.next_grant(now) < now + milliseconds(100));
+    limited.leave(now, milliseconds(10));
+    limited.grant_free_slots(now + milliseconds(100));
+    CHECK(waiter.granted);
+}
