A refused call may return when the first of its owners has room

Callers refused by several owners got the Retry-After of the last one: up to 4.9 s where it was that of a target with a limit of 0 and the others had room again within 0.4 s. The shortest one is sent now.

--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -91,6 +91,8 @@
         std::vector<address> crashed_at; ///< owners whose target crashed
         /** Refusals that other owners would repeat. */
         unsigned common_refusals = 0;
+        /** The shortest Retry-After of the owners that refused. */
+        duration retry_after = duration::max();
         bool may_have_run = false; ///< in a try with an unknown outcome
         bool is_canary = false;    ///< the current try goes to a canary target
 
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -291,6 +291,9 @@
         if (!owner)
             return failure ? std::move(*failure) : last;
         last = try_owner(request, state, *owner, scope);
+        if (last.end == call_end::not_run)
+            last.retry_after = state.retry_after =
+                std::min(state.retry_after, last.retry_after);
         const bool answered = last.end == call_end::answered;
         if (!may_retry(request, state, last, scope))
             return failure && !answered ? std::move(*failure) : last;
--- a/tests/integration/target_rate_limits.cpp
+++ b/tests/integration/target_rate_limits.cpp
@@ -160,6 +160,38 @@
         });
 }
 
+TEST_CASE("a refused call may return when the first owner has room again")
+{
+    on_worker(
+        [](worker& on)
+        {
+            three_targets system(on);
+            system.target(0).faults().rate_limit = "0";
+            system.wait_until(
+                [&]
+                {
+                    system.call(system.hosts()[0], "n", "/fields/x");
+                    return system.arrivals(0, {}).size() > 1;
+                });
+            for (std::size_t i = 1; i < 3; ++i)
+            {
+                auto& host = system.hosts()[i];
+                host.target->set_slots(1);
+                host.target->faults().work = milliseconds(200);
+                host.target->report(host.at["operators"], "ready");
+            }
+            open_loop load(system, {.prefix = "f-",
+                                    .path = "/fields/x",
+                                    .per_s = 60,
+                                    .span = std::chrono::seconds(4)});
+            const auto& calls = load.finish();
+            CHECK(count_status(calls, 503) > 0);
+            for (const auto& each : calls)
+                if (each.answer.status == 503)
+                    CHECK(std::stod(each.answer.retry_after) < 1);
+        });
+}
+
 TEST_CASE("a new start of a target is not held to its predecessor's limit")
 {
     on_worker(
