--- a/tests/integration/poison_calls_soak.cpp
+++ b/tests/integration/poison_calls_soak.cpp
@@ -5,8 +5,7 @@
  * killed, stopped or frozen and the store is unavailable.
  */
 #include "crashing_system.hpp"
-
-#include "tillerhall/core/random.hpp"
+#include "node_faults.hpp"
 
 #include <cstdlib>
 
@@ -27,7 +26,7 @@
     faulty_mesh(crashing_system& system, std::uint64_t seed)
         : m_system(system)
         , m_random(seed)
-        , m_disturbed(system.hosts().size())
+        , m_faults(system, m_random)
     {
     }
 
@@ -36,15 +35,15 @@
         const auto until = steady_clock::now() + span;
         int open = 2;
         m_system.on().spawn([&] { send_poison_calls(until, open); });
-        m_system.on().spawn([&] { send_target_reports(until, open); });
+        m_system.on().spawn([&] { m_faults.send_target_reports(until, open); });
         while (steady_clock::now() < until)
         {
-            inject_random_fault();
+            m_faults.inject_random();
             sleep_for(m_system.on().io(),
                       milliseconds(200 + m_random.below(500)));
         }
         REQUIRE(
-            m_system.wait_until([&] { return open + m_active_faults == 0; }));
+            m_system.wait_until([&] { return open + m_faults.active() == 0; }));
     }
 
     /** @return the runs later than `propagation_limit` after the third one, at
@@ -59,22 +58,13 @@
         for (std::size_t i = 0; i < m_system.hosts().size(); ++i)
             for (const auto& run : m_system.hosts()[i].target->runs())
                 if (run.path == poison_path && run.begun > after &&
-                    !was_disturbed(i, run.begun))
+                    !m_faults.was_disturbed(i, run.begun - propagation_limit,
+                                            run.begun))
                     ++later;
         return later;
     }
 
 private:
-    bool was_disturbed(std::size_t host, time_point at) const
-    {
-        return std::ranges::any_of(m_disturbed[host],
-                                   [&](const auto& each) {
-                                       return at >= each.first &&
-                                              at <= each.second +
-                                                        propagation_limit;
-                                   });
-    }
-
     void send_poison_calls(time_point until, int& open)
     {
         while (steady_clock::now() < until)
@@ -90,73 +80,9 @@
         --open;
     }
 
-    /** Targets report repeatedly, so that a restarted node learns of them. */
-    void send_target_reports(time_point until, int& open)
-    {
-        while (steady_clock::now() < until)
-        {
-            for (auto& each : m_system.hosts())
-                each.target->report(each.at["operators"], "ready");
-            sleep_for(m_system.on().io(), milliseconds(300));
-        }
-        --open;
-    }
-
-    void inject_random_fault()
-    {
-        const auto index = m_random.below(m_system.hosts().size());
-        if (m_busy.contains(index))
-            return;
-        m_busy.insert(index);
-        ++m_active_faults;
-        const auto kind = m_random.below(4);
-        m_system.on().spawn(
-            [this, index, kind]
-            {
-                const auto begin = steady_clock::now();
-                inject_fault(index, kind);
-                if (kind != 3)
-                    m_disturbed[index].emplace_back(begin, steady_clock::now());
-                m_busy.erase(index);
-                --m_active_faults;
-            });
-    }
-
-    void inject_fault(std::size_t index, std::uint64_t kind)
-    {
-        auto& host = m_system.hosts()[index];
-        const milliseconds pause(300 + m_random.below(1200));
-        auto& io = m_system.on().io();
-        if (kind == 0)
-        {
-            host.node.kill();
-            m_system.start_node(host);
-        }
-        else if (kind == 1)
-        {
-            ::kill(host.node.pid(), SIGTERM);
-            m_system.wait_until([&] { return !host.node.is_running(); });
-            m_system.start_node(host);
-        }
-        else if (kind == 2)
-        {
-            ::kill(host.node.pid(), SIGSTOP);
-            sleep_for(io, pause);
-            ::kill(host.node.pid(), SIGCONT);
-        }
-        else
-        {
-            m_system.store().faults().down = true;
-            sleep_for(io, pause);
-            m_system.store().faults().down = false;
-        }
-    }
-
     crashing_system& m_system;
     random_source m_random;
-    std::vector<std::vector<std::pair<time_point, time_point>>> m_disturbed;
-    std::set<std::size_t> m_busy;
-    int m_active_faults = 0;
+    node_faults m_faults;
 };
 
 } // namespace
--- a/tests/support/mesh_system.hpp
+++ b/tests/support/mesh_system.hpp
@@ -94,6 +94,8 @@
     std::string body;
     bool proved = false;
     std::string retry_after;
+    std::string target_id;  ///< X-Instance-Id
+    std::string rate_limit; ///< Server-Limit
 };
 
 /** Store, nodes and targets; the destructor stops the nodes. */
@@ -205,11 +207,17 @@
         const auto answer = client.send(made, std::chrono::seconds(8));
         if (!answer)
             return {};
-        return {answer->status, answer->body,
+        const auto field = [&](const char* name)
+        {
+            const auto found = answer->fields.find(name);
+            return found == answer->fields.end() ? "" : found->second;
+        };
+        return {answer->status,
+                answer->body,
                 answer->fields.contains("X-Response-Seal"),
-                answer->fields.contains("Retry-After")
-                    ? answer->fields.at("Retry-After")
-                    : ""};
+                field("Retry-After"),
+                field("X-Instance-Id"),
+                field("Server-Limit")};
     }
 
     /** @return the number of runs of @p id at all targets. */
--- /dev/null
+++ b/tests/support/node_faults.hpp
@@ -0,0 +1,108 @@
+/** @file Faults of nodes and of the store, drawn from a seed. */
+#pragma once
+
+#include "mesh_system.hpp"
+
+#include "tillerhall/core/random.hpp"
+
+namespace tillerhall::harness
+{
+
+/**
+ * Kills, stops or freezes nodes and makes the store unavailable; faults of
+ * different hosts overlap.
+ */
+class node_faults
+{
+public:
+    /** @param random also drawn from by others */
+    node_faults(mesh_system& system, random_source& random)
+        : m_system(system)
+        , m_random(random)
+        , m_disturbed(system.hosts().size())
+    {
+    }
+
+    /** Starts a fault of a random host, unless it has one. */
+    void inject_random()
+    {
+        const auto index = m_random.below(m_system.hosts().size());
+        if (m_busy.contains(index))
+            return;
+        m_busy.insert(index);
+        ++m_active;
+        const auto kind = m_random.below(4);
+        m_system.on().spawn(
+            [this, index, kind]
+            {
+                const auto begin = steady_clock::now();
+                inject(index, kind);
+                if (kind != 3)
+                    m_disturbed[index].emplace_back(begin, steady_clock::now());
+                m_busy.erase(index);
+                --m_active;
+            });
+    }
+
+    /** Targets report repeatedly, so that a restarted node learns of them. */
+    void send_target_reports(time_point until, int& open)
+    {
+        while (steady_clock::now() < until)
+        {
+            for (auto& each : m_system.hosts())
+                each.target->report(each.at["operators"], "ready");
+            sleep_for(m_system.on().io(), milliseconds(300));
+        }
+        --open;
+    }
+
+    /** @return the number of faults under way. */
+    int active() const noexcept { return m_active; }
+
+    /** @return whether @p host had a fault between @p begin and @p end. */
+    bool was_disturbed(std::size_t host, time_point begin, time_point end) const
+    {
+        return std::ranges::any_of(
+            m_disturbed[host], [&](const auto& each)
+            { return end >= each.first && begin <= each.second; });
+    }
+
+private:
+    void inject(std::size_t index, std::uint64_t kind)
+    {
+        auto& host = m_system.hosts()[index];
+        const milliseconds pause(300 + m_random.below(1200));
+        auto& io = m_system.on().io();
+        if (kind == 0)
+        {
+            host.node.kill();
+            m_system.start_node(host);
+        }
+        else if (kind == 1)
+        {
+            ::kill(host.node.pid(), SIGTERM);
+            m_system.wait_until([&] { return !host.node.is_running(); });
+            m_system.start_node(host);
+        }
+        else if (kind == 2)
+        {
+            ::kill(host.node.pid(), SIGSTOP);
+            sleep_for(io, pause);
+            ::kill(host.node.pid(), SIGCONT);
+        }
+        else
+        {
+            m_system.store().faults().down = true;
+            sleep_for(io, pause);
+            m_system.store().faults().down = false;
+        }
+    }
+
+    mesh_system& m_system;
+    random_source& m_random;
+    std::vector<std::vector<std::pair<time_point, time_point>>> m_disturbed;
+    std::set<std::size_t> m_busy;
+    int m_active = 0;
+};
+
+} // namespace tillerhall::harness
