--- a/tests/support/node_faults.hpp
+++ b/tests/support/node_faults.hpp
@@ -5,6 +5,9 @@
 
 #include "tillerhall/core/random.hpp"
 
+#include <cstdlib>
+#include <functional>
+
 namespace tillerhall::harness
 {
 
@@ -105,4 +108,21 @@
     int m_active = 0;
 };
 
+/** Runs @p body on a worker for each of @p count seeds. The environment sets
+ * longer runs: TILLERHALL_SEEDS=50, first seed in TILLERHALL_SEED. */
+inline void
+for_each_seed(std::uint64_t count,
+              const std::function<void(worker&, std::uint64_t)>& body)
+{
+    const auto number = [](const char* name, std::uint64_t otherwise)
+    {
+        const char* given = std::getenv(name);
+        return given == nullptr ? otherwise : std::stoull(given);
+    };
+    const auto first = number("TILLERHALL_SEED", 1);
+    const auto seeds = number("TILLERHALL_SEEDS", count);
+    for (auto seed = first; seed < first + seeds; ++seed)
+        on_worker([&](worker& on) { body(on, seed); });
+}
+
 } // namespace tillerhall::harness
