--- a/tests/support/open_loop.hpp
+++ b/tests/support/open_loop.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "mesh_system.hpp"
+#include "time_window.hpp"
 
 namespace tillerhall::harness
 {
@@ -86,18 +87,4 @@
                               { return each.answer.status == status; }));
 }
 
-/** @return the largest number of @p times within @p window. */
-inline std::size_t max_in_window(const std::vector<time_point>& times,
-                                 duration window)
-{
-    std::size_t max_count = 0;
-    for (std::size_t first = 0, last = 0; last < times.size(); ++last)
-    {
-        while (times[first] + window <= times[last])
-            ++first;
-        max_count = std::max(max_count, last - first + 1);
-    }
-    return max_count;
-}
-
 } // namespace tillerhall::harness
--- a/tests/unit/cold_rate_limiter.cpp
+++ b/tests/unit/cold_rate_limiter.cpp
@@ -5,6 +5,7 @@
  * get more calls than a cold target can serve.
  */
 #include "tillerhall/routing/cold_rate_limiter.hpp"
+#include "../support/time_window.hpp"
 #include "tillerhall/core/random.hpp"
 
 #include <catch2/catch.hpp>
@@ -17,19 +18,6 @@
 
 const time_point started{std::chrono::hours(1)};
 
-/** @return the largest number of @p sent within a second. */
-std::size_t max_in_a_second(const std::vector<time_point>& sent)
-{
-    std::size_t max_count = 0;
-    for (std::size_t first = 0, last = 0; last < sent.size(); ++last)
-    {
-        while (sent[first] + cold_rate_limiter::window <= sent[last])
-            ++first;
-        max_count = std::max(max_count, last - first + 1);
-    }
-    return max_count;
-}
-
 } // namespace
 
 TEST_CASE("a cold target never gets more calls a second than its limit")
@@ -50,7 +38,8 @@
                      limiter.sent(now);
                      sent.push_back(now);
                  }
-                 RC_ASSERT(static_cast<double>(max_in_a_second(sent)) <= per_s);
+                 RC_ASSERT(static_cast<double>(max_in_window(
+                               sent, cold_rate_limiter::window)) <= per_s);
              });
 }
 
--- a/tests/unit/paced_target.cpp
+++ b/tests/unit/paced_target.cpp
@@ -4,6 +4,7 @@
  * Guards against bursts above the limit after pauses and changes of it, and
  * against a limit that is kept but not used.
  */
+#include "../support/time_window.hpp"
 #include "tillerhall/core/random.hpp"
 #include "tillerhall/routing/admission.hpp"
 #include "tillerhall/routing/call_pacer.hpp"
@@ -21,19 +22,6 @@
 
 const time_point epoch{std::chrono::hours(1)};
 
-/** @return the largest number of @p sent within @p window. */
-std::size_t max_in(const std::vector<time_point>& sent, duration window)
-{
-    std::size_t max_count = 0;
-    for (std::size_t first = 0, last = 0; last < sent.size(); ++last)
-    {
-        while (sent[first] + window <= sent[last])
-            ++first;
-        max_count = std::max(max_count, last - first + 1);
-    }
-    return max_count;
-}
-
 /** Results of the calls of one rank. */
 struct rank_outcome
 {
@@ -213,7 +201,7 @@
                  // The rule of the users' platform.
                  constexpr double tolerated_excess = 1.5;
                  constexpr double extra = 5;
-                 RC_ASSERT(static_cast<double>(max_in(sent, window)) <=
+                 RC_ASSERT(static_cast<double>(max_in_window(sent, window)) <=
                            tolerated_excess * max_rate * window.count() +
                                extra);
              });
@@ -233,7 +221,7 @@
         sent.push_back(now);
     }
     CHECK(sent.size() >= 10);
-    CHECK(max_in(sent, seconds(4)) == 1);
+    CHECK(max_in_window(sent, seconds(4)) == 1);
     pacer.set_rate(std::nullopt, epoch + seconds(60));
     CHECK(pacer.wait(epoch + seconds(60)) == duration::zero());
     CHECK(pacer.used(epoch + seconds(60)) == 0);
@@ -278,8 +266,8 @@
             target.play({limit, limit}, span_ms);
             add(urgent, target.outcome(0));
             add(other, target.outcome(1));
-            CHECK(static_cast<double>(max_in(target.sent(), seconds(4))) <=
-                  1.5 * limit * 4 + 5);
+            CHECK(static_cast<double>(max_in_window(
+                      target.sent(), seconds(4))) <= 1.5 * limit * 4 + 5);
         }
         INFO("limit " << limit << ": " << urgent.in_time << " of "
                       << urgent.calls << ", " << other.in_time << " of "
