Answers of the store are timed by their pauses; one reader a domain receives them

Cause: the timeout of a call to the store covered the whole answer. When a reader had no fresh answer for 1.4 s all nodes of its domain asked the store, and asked its feed, which sends each version of a storm whole. Their answers shared the reader's link, each was given up before its end and asked for again.

Evidence: the error of an unanswered call now gives the bytes received.

Fix: an answer counts as lost when it pauses for a second. A reader that receives an answer for long says so, and worse readers and the other nodes wait for it. A node that has listened reads the row, not the feed, within 3 s of a new version.

--- a/include/tillerhall/control/route_controller.hpp
+++ b/include/tillerhall/control/route_controller.hpp
@@ -95,6 +95,10 @@
 
     /** Sends a routes update to this domain if this node announces. */
     void announce();
+    routes_update make_update() const;
+    /** Tells the domain that an answer of the store is being received, if this
+     * takes long. Called for each part of it. */
+    void announce_receiving();
     void forward(const routes_update& update);
 
     mesh_state& m_mesh;
@@ -107,6 +111,8 @@
     store_role_choice m_role;
     time_point m_started{};
     store_role m_last_role = store_role::poll;
+    time_point m_next_notice{};            ///< of an answer being received
+    time_point m_applied{};                ///< time of the last new version
     std::string m_packed;                  ///< routes in force, for peers
     std::uint64_t m_revision = 0;          ///< of the store, read up to here
     std::uint64_t m_applied_revision = 0;  ///< of the row applied last
--- a/include/tillerhall/control/routes_update.hpp
+++ b/include/tillerhall/control/routes_update.hpp
@@ -19,7 +19,10 @@
     std::uint64_t version = 0;     ///< of the routes in force at the reader
     std::uint64_t revision = 0;    ///< of the store, read up to here
     std::int64_t store_age_ms = 0; ///< since the store's answer
-    std::string packed;            ///< the packed routes; empty if not new
+    /** The reader is receiving a newer answer of the store, which takes long.
+     */
+    bool is_receiving = false;
+    std::string packed; ///< the packed routes; empty if not new
     /** Drained failure domains at `revision`. */
     std::set<std::string> drained;
     key_range range; ///< members to which the receiver forwards
--- a/include/tillerhall/distribution/store_role.hpp
+++ b/include/tillerhall/distribution/store_role.hpp
@@ -24,7 +24,8 @@
  * `staleness_limit` polls the store itself, also when cut off from its peers,
  * so it lags behind by at most that limit and one call. Of the `candidates`
  * best readers the first announces; the next take over when they receive no
- * recent update from a better one. Does no I/O.
+ * recent update from a better one. While a reader receives a large answer it
+ * says so, and the others wait for that instead. Does no I/O.
  */
 class store_role_choice
 {
@@ -52,6 +53,17 @@
         m_answered = m_answered ? std::max(*m_answered, answered) : answered;
     }
 
+    /** Notes that a reader of rank @p from is receiving a large answer of the
+     * store. Worse ones wait for it: their own reads would share its link, and
+     * with many readers none would finish. */
+    void reader_receives(std::size_t from,
+                         std::size_t own_rank,
+                         time_point now) noexcept
+    {
+        if (from < own_rank)
+            m_reader_received = now;
+    }
+
     /** Notes an answer of the store at @p now to this node, which has just
      * started: it listens for updates until the staleness limit. */
     void store_answered(time_point now) noexcept
@@ -72,11 +84,17 @@
     /** Returns when a listening node stops unless an update arrives. */
     time_point listens_until() const noexcept
     {
-        return m_answered ? *m_answered + staleness_limit : time_point{};
+        if (!m_answered)
+            return {};
+        const auto newest = m_reader_received
+                                ? std::max(*m_answered, *m_reader_received)
+                                : *m_answered;
+        return newest + staleness_limit;
     }
 
 private:
     std::optional<time_point> m_answered; ///< newest known answer of the store
+    std::optional<time_point> m_reader_received; ///< last notice of a reader
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/http/api_client.hpp
+++ b/include/tillerhall/http/api_client.hpp
@@ -4,6 +4,7 @@
 #include "tillerhall/http/message.hpp"
 #include "tillerhall/http/stream.hpp"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,11 @@
     std::string token; ///< bearer token, empty for none
     std::string host;  ///< Host field, empty for the server's address
     std::map<std::string, std::string> fields; ///< additional header fields
+    /** Longest pause between parts of an answer that has begun; zero: the
+     * timeout of the call covers the complete answer. */
+    duration max_pause{};
+    /** Called for each part of such an answer; may be null. */
+    std::function<void()> on_part;
 };
 
 /** A client of one server, for fibers of one worker. */
@@ -36,6 +42,8 @@
      * @return the response, whatever its status. connection_failed means that
      * nothing was sent; connection_lost and timed_out mean that the outcome
      * is unknown.
+     * @param timeout for the connection, and again for the answer: for its
+     * first bytes if the call has a `max_pause`, else for all of it
      */
     result<http_response> send(const api_call& request, duration timeout);
 
@@ -46,7 +54,9 @@
                                duration timeout,
                                const std::string& token = {})
     {
-        return send({method, target, body, token, {}, {}}, timeout);
+        return send(
+            {.method = method, .target = target, .body = body, .token = token},
+            timeout);
     }
 
     const address& server() const noexcept { return m_server; }
--- a/include/tillerhall/store/row_store.hpp
+++ b/include/tillerhall/store/row_store.hpp
@@ -6,6 +6,7 @@
 #include "tillerhall/core/time.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -55,26 +56,50 @@
 };
 
 /**
- * A row store. Errors: `unavailable` (the operation had no effect),
- * `outcome_unknown` (it may have taken effect, or may still do so while its
- * condition holds), `retry_later` (over the rate limit of the store) and, from
- * `follow`, `history_lost`.
+ * A row store. An answer counts as lost if it does not begin within
+ * `answer_timeout`, besides the wait of `follow`, or pauses for longer; as long
+ * as its bytes arrive, a large one may take longer as a whole. Errors:
+ * `unavailable` (the operation had no effect), `outcome_unknown` (it may have
+ * taken effect, or may still do so while its condition holds), `retry_later`
+ * (over the rate limit of the store) and, from `follow`, `history_lost`.
  */
 class row_store
 {
 public:
+    /** Well above the latency of a slow store. */
+    static constexpr milliseconds answer_timeout{1'000};
+
+    /** Called for each part of an answer that arrives; may be null. */
+    using part_callback = std::function<void()>;
+
     virtual ~row_store() = default;
 
     /** @return the rows of @p part of @p table with keys from @p from on. */
     virtual result<row_page> read(const std::string& table,
                                   const std::string& part,
-                                  const std::string& from) = 0;
+                                  const std::string& from,
+                                  const part_callback& on_part) = 0;
+
+    result<row_page> read(const std::string& table,
+                          const std::string& part,
+                          const std::string& from)
+    {
+        return read(table, part, from, nullptr);
+    }
 
     /** @return the changes of @p table after @p revision, waiting up to
      * @p wait for the first; `history_lost` if the feed no longer goes back to
      * @p revision. */
-    virtual result<row_page>
-    follow(const std::string& table, std::uint64_t revision, duration wait) = 0;
+    virtual result<row_page> follow(const std::string& table,
+                                    std::uint64_t revision,
+                                    duration wait,
+                                    const part_callback& on_part) = 0;
+
+    result<row_page>
+    follow(const std::string& table, std::uint64_t revision, duration wait)
+    {
+        return follow(table, revision, wait, nullptr);
+    }
 
     virtual result<write_outcome> write(const conditional_write& request) = 0;
 
--- a/src/control/route_controller.cpp
+++ b/src/control/route_controller.cpp
@@ -18,7 +18,7 @@
 
 // Short enough that a feed with a lost answer is detected before the 3 s after
 // which a host must be in contact with a returned store.
-constexpr milliseconds poller_feed_wait(2'000);
+constexpr milliseconds poller_feed_wait(1'500);
 // A reader announces after each answer, so this is the interval of routes
 // updates; see `store_role_choice::staleness_limit`.
 constexpr milliseconds reader_feed_wait(600);
@@ -46,6 +46,14 @@
 // would rank itself best. By this time it knows the other members.
 constexpr milliseconds membership_grace(700);
 
+// Versions that come closer than this are a burst. Its changes are not asked
+// for one by one: the feed would send each version whole.
+constexpr std::chrono::seconds burst_interval(3);
+
+// An answer of the store that takes longer than this, besides the wait of the
+// feed, is announced before it is complete.
+constexpr milliseconds receiving_notice_delay(300);
+
 // Names in logs and metrics.
 constexpr std::array<std::string_view, 3> role_names{"rely", "follow", "speak"};
 
@@ -137,7 +145,8 @@
 {
     const auto left = m_role.listens_until() - steady_clock::now();
     sleep_for(m_mesh.on.io(), std::max<duration>(left, min_listen_wait));
-    return step::follow;
+    const bool in_burst = steady_clock::now() < m_applied + burst_interval;
+    return in_burst ? step::read : step::follow;
 }
 
 route_controller::step route_controller::ask_store(step how)
@@ -173,12 +182,15 @@
 
 route_controller::outcome route_controller::read_row()
 {
+    const auto begin = steady_clock::now();
+    m_next_notice = begin + receiving_notice_delay;
     const auto page =
-        m_store.read(m_source.row.table, m_source.row.part, m_source.row.key);
+        m_store.read(m_source.row.table, m_source.row.part, m_source.row.key,
+                     [this] { announce_receiving(); });
     note_store(page ? nullptr : &page.reason());
     if (!page)
         return outcome::failed;
-    note_answer(page->revision, time_point::max());
+    note_answer(page->revision, begin + row_store::answer_timeout);
     const auto applied = apply_last(*page, !page->more);
     announce();
     return applied;
@@ -189,7 +201,9 @@
     const duration wait =
         role() == store_role::announce ? reader_feed_wait : poller_feed_wait;
     const auto begin = steady_clock::now();
-    const auto page = m_store.follow(m_source.row.table, m_revision, wait);
+    m_next_notice = begin + wait + receiving_notice_delay;
+    const auto page = m_store.follow(m_source.row.table, m_revision, wait,
+                                     [this] { announce_receiving(); });
     if (!page && page.reason().code() == error_code::history_lost)
         return read_row();
     note_store(page ? nullptr : &page.reason());
@@ -238,13 +252,15 @@
         return;
     }
     m_packed = pack_text(value);
+    m_applied = steady_clock::now();
     board.call_map.set(*routes);
     board.metrics.get("tillerhall_routes_version")
         .set(static_cast<std::int64_t>(version));
     board.decisions.note("routes_applied", from, "a higher version",
                          {{"before", before},
                           {"version", version},
-                          {"routes", (*routes)->routes().size()}});
+                          {"routes", (*routes)->routes().size()},
+                          {"bytes", value.size()}});
 }
 
 void route_controller::on_newer_version(std::uint64_t version,
@@ -303,18 +319,34 @@
 {
     if (!known() || role() != store_role::announce)
         return;
-    const auto version = m_mesh.board.call_map.get()->version();
+    auto update = make_update();
+    if (update.version != m_announced_version)
+        update.packed = m_packed;
+    m_announced_version = update.version;
+    forward(update);
+}
+
+routes_update route_controller::make_update() const
+{
     routes_update update;
     update.reader = m_mesh.members.self().rpc.text();
     update.rank = reader_rank(m_mesh.members);
-    update.version = version;
+    update.version = m_mesh.board.call_map.get()->version();
     update.revision = m_revision;
     update.store_age_ms = to_ms(steady_clock::now() - m_answered);
-    if (version != m_announced_version)
-        update.packed = m_packed;
     update.drained = m_mesh.board.drains.get()->domains();
     update.range = domain_range(m_mesh.members.self());
-    m_announced_version = version;
+    return update;
+}
+
+void route_controller::announce_receiving()
+{
+    const auto now = steady_clock::now();
+    if (now < m_next_notice || !known() || role() != store_role::announce)
+        return;
+    m_next_notice = now + reader_feed_wait;
+    auto update = make_update();
+    update.is_receiving = true;
     forward(update);
 }
 
@@ -357,6 +389,9 @@
         return {};
     }
     m_has_received_update = true;
+    if (update.is_receiving)
+        m_role.reader_receives(update.rank, reader_rank(m_mesh.members),
+                               steady_clock::now());
     // This node now knows what the reader has read of the store.
     m_revision = std::max(m_revision, update.revision);
     m_role.update_received(
--- a/src/control/routes_update.cpp
+++ b/src/control/routes_update.cpp
@@ -16,6 +16,8 @@
                          {"v", sent.version},
                          {"s", sent.revision},
                          {"a", sent.store_age_ms}};
+    if (sent.is_receiving)
+        members["w"] = 1;
     if (!sent.packed.empty())
         members["c"] = sent.packed;
     if (!sent.drained.empty())
@@ -32,6 +34,7 @@
     read.version = json::value_to<std::uint64_t>(members.at("v"));
     read.revision = json::value_to<std::uint64_t>(members.at("s"));
     read.store_age_ms = json::value_to<std::int64_t>(members.at("a"));
+    read.is_receiving = members.contains("w");
     if (const auto* packed = members.if_contains("c"))
         read.packed = json::value_to<std::string>(*packed);
     if (const auto* drained = members.if_contains("d"))
--- a/src/http/api_client.cpp
+++ b/src/http/api_client.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 namespace tillerhall
 {
@@ -13,6 +14,8 @@
 
 constexpr std::size_t max_idle = 4;
 constexpr std::size_t max_answer_bytes = 64 * 1024 * 1024;
+// Limit of the whole time of an answer that arrives without long pauses.
+constexpr std::chrono::seconds max_transfer(10);
 
 http::request<http::string_body> build(const api_call& request,
                                        const address& server)
@@ -32,6 +35,34 @@
     return message;
 }
 
+using answer_parser = http::response_parser<http::string_body>;
+
+/** Reads an answer that may take long as a whole, but not pause for long.
+ * @return the bytes read, also if it failed. */
+std::size_t read_in_parts(tcp_stream& stream,
+                          boost::beast::flat_buffer& buffer,
+                          answer_parser& parser,
+                          const api_call& request,
+                          boost::system::error_code& failed)
+{
+    std::size_t bytes = 0;
+    std::optional<time_point> until;
+    while (!failed && !parser.is_done())
+    {
+        bytes += http::async_read_some(stream, buffer, parser, await{failed});
+        if (failed)
+            break;
+        if (request.on_part)
+            request.on_part();
+        const auto now = steady_clock::now();
+        if (!until)
+            until = now + max_transfer;
+        stream.expires_at(
+            std::min<time_point>(now + request.max_pause, *until));
+    }
+    return bytes;
+}
+
 } // namespace
 
 result<std::unique_ptr<tcp_stream>> api_client::take_stream(duration timeout)
@@ -61,12 +92,19 @@
     if (failed)
         return stream_error(failed, "cannot send to", m_server);
     boost::beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
+    answer_parser parser;
     parser.body_limit(max_answer_bytes);
     parser.skip(request.method == "HEAD");
-    response.wire_in = http::async_read(*stream, buffer, parser, await{failed});
+    response.wire_in =
+        request.max_pause > duration::zero()
+            ? read_in_parts(*stream, buffer, parser, request, failed)
+            : http::async_read(*stream, buffer, parser, await{failed});
     if (failed)
-        return stream_error(failed, "no whole answer from", m_server);
+        return stream_error(failed,
+                            "no whole answer, only " +
+                                std::to_string(response.wire_in) +
+                                " bytes, from",
+                            m_server);
     auto& answer = parser.get();
     response.status = answer.result_int();
     response.content_type = std::string(answer[http::field::content_type]);
--- /dev/null
+++ b/standins/platform_standin/paced_link.hpp
@@ -0,0 +1,38 @@
+/** @file A network link of limited bandwidth before a server, for tests. */
+#pragma once
+
+#include "tillerhall/core/worker.hpp"
+#include "tillerhall/http/listener.hpp"
+
+#include <memory>
+
+namespace tillerhall
+{
+
+/** Forwards connections to a server. The bytes of all of them, in both
+ * directions, share one bandwidth. */
+class paced_link
+{
+public:
+    paced_link(worker& on, address to);
+
+    /** Address that clients connect to. */
+    const address& where() const noexcept { return m_listener->local(); }
+
+    /** Sets the bandwidth; 0: unlimited. */
+    void set_bytes_per_s(double bytes) noexcept { m_bytes_per_s = bytes; }
+
+private:
+    void serve(tcp_stream& client);
+    void pump(tcp_stream& source, tcp_stream& sink);
+    /** Waits until the link has sent @p bytes behind all earlier ones. */
+    void await_turn(std::size_t bytes);
+
+    worker& m_worker;
+    address m_to;
+    std::unique_ptr<listener> m_listener;
+    double m_bytes_per_s = 0;
+    time_point m_free_at{}; ///< when the link has sent all bytes so far
+};
+
+} // namespace tillerhall
--- a/tests/support/mesh_system.hpp
+++ b/tests/support/mesh_system.hpp
@@ -3,6 +3,7 @@
 
 #include "system.hpp"
 
+#include "platform_standin/paced_link.hpp"
 #include "platform_standin/reporting_target.hpp"
 #include "platform_standin/store_standin.hpp"
 #include "tillerhall/core/await.hpp"
@@ -135,6 +136,16 @@
     store_standin& store() noexcept { return m_store; }
     std::vector<mesh_host>& hosts() noexcept { return m_hosts; }
 
+    /** @return the link between the nodes and the store. Nodes that start
+     * before the first call have a direct connection. */
+    paced_link& store_link()
+    {
+        if (m_store_link == nullptr)
+            m_store_link = &keep_for_fibers(
+                std::make_shared<paced_link>(m_worker, m_store.where()));
+        return *m_store_link;
+    }
+
     void configure(int version,
                    const std::vector<mesh_route>& routes,
                    const std::string& health_path = {})
@@ -264,7 +275,9 @@
                  << (host.at.contains(name) ? host.at[name].text()
                                             : "127.0.0.1:0")
                  << "\n";
-        const auto store = m_store.where().text();
+        const auto store =
+            (m_store_link == nullptr ? m_store.where() : m_store_link->where())
+                .text();
         file << "  region: r\n  domain: " << host.domain
              << "\n  stop_grace_s: 4\ntarget:\n  service: " << host.service
              << "\n  address: " << host.target->where().text()
@@ -277,6 +290,7 @@
     worker& m_worker;
     std::string m_more_settings;
     store_standin& m_store;
+    paced_link* m_store_link = nullptr; ///< kept for its fibers
     std::string m_folder;
     std::vector<mesh_host> m_hosts;
 };
--- a/tests/unit/store_role.cpp
+++ b/tests/unit/store_role.cpp
@@ -76,6 +76,24 @@
         });
 }
 
+TEST_CASE("worse readers and other nodes wait for an answer being received")
+{
+    // Guards against a full link to the store on which all nodes of a domain
+    // ask for a version that their reader is receiving.
+    const auto stale = start + store_role_choice::staleness_limit;
+    for (const std::size_t rank : {std::size_t{2}, no_candidate})
+    {
+        store_role_choice role;
+        role.update_received(0, rank, milliseconds(0), start);
+        role.reader_receives(1, rank, start + milliseconds(900));
+        CHECK(role.at(rank, stale) == store_role::listen);
+        CHECK(role.at(rank, stale + milliseconds(900)) != store_role::listen);
+    }
+    store_role_choice better;
+    better.reader_receives(1, 0, start);
+    CHECK(better.at(0, start) == store_role::announce);
+}
+
 TEST_CASE("all nodes rank the readers of a domain alike, the best link first")
 {
     std::vector<member> all(12);
@@ -121,6 +139,7 @@
     sent.version = 90;
     sent.revision = 1234;
     sent.store_age_ms = 17;
+    sent.is_receiving = true;
     sent.packed = pack_text("routes");
     sent.range = {5, 900};
     const auto read = routes_update_from_json(to_json(sent));
@@ -129,6 +148,7 @@
     CHECK(read.version == sent.version);
     CHECK(read.revision == sent.revision);
     CHECK(read.store_age_ms == sent.store_age_ms);
+    CHECK(read.is_receiving);
     CHECK(read.packed == sent.packed);
     CHECK(read.range == sent.range);
     auto cut = to_json(sent);
