Cancelled requests are reset, so that their unsent part is not delivered

Cause: when a client leaves, the entry closed its connection to the owner. A close lets the kernel go on sending what the socket holds. On a full link that is the rest of an upload: the owner got it whole, and the end of the stream only behind it, so that the request ran before its cancellation could be seen.

Fix: exchange, relay and the watch for callers reset the connection, which discards what was not sent. Calls that are given up at their deadline are reset as well: an owner that got such a request late would have taken its time left from the arrival.

--- a/include/tillerhall/http/stream.hpp
+++ b/include/tillerhall/http/stream.hpp
@@ -51,6 +51,11 @@
 /** @return true if the peer has closed; false while there is unread data. */
 bool peer_has_closed(tcp_stream& stream);
 
+/** Closes @p stream at once. Bytes that were written but not yet sent are
+ * discarded, so that the peer does not get the rest of a request that nobody
+ * waits for. */
+void reset_stream(tcp_stream& stream);
+
 /** @return the error for a failed operation on a stream to @p peer.
  * @param what start of its detail, before the address */
 error stream_error(const boost::system::error_code& failed,
--- a/src/http/caller_watch.cpp
+++ b/src/http/caller_watch.cpp
@@ -17,8 +17,7 @@
                 return;
             shared->gone = true;
             upstream.cancel();
-            boost::system::error_code ignored;
-            upstream.socket().close(ignored);
+            reset_stream(upstream);
         });
 }
 
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -113,11 +113,7 @@
         close();
     }
 
-    void close()
-    {
-        boost::system::error_code ignored;
-        m_stream.socket().close(ignored);
-    }
+    void close() { reset_stream(m_stream); }
 
     exchange_result make_result()
     {
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -328,7 +328,7 @@
                             m_call.has_whole_body();
     }
 
-    /** Records a failure. @return false, for use in return statements. */
+    /** Records a failure and closes the upstream stream. @return false, for use in return statements. */
     bool fail(relay_end how,
               std::string detail,
               const boost::system::error_code& failed = {})
@@ -337,6 +337,7 @@
         m_result.end =
             timed_out && how == relay_end::unknown ? relay_end::timed_out : how;
         m_result.detail = std::move(detail);
+        reset_stream(m_upstream);
         return false;
     }
 
--- a/src/http/stream.cpp
+++ b/src/http/stream.cpp
@@ -106,6 +106,14 @@
     return failed && failed != boost::asio::error::would_block;
 }
 
+void reset_stream(tcp_stream& stream)
+{
+    boost::system::error_code ignored;
+    auto& socket = stream.socket();
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 error stream_error(const boost::system::error_code& failed,
                    const std::string& what,
                    const address& peer)
--- a/src/proxy/target_loads.cpp
+++ b/src/proxy/target_loads.cpp
@@ -46,8 +46,7 @@
 {
     m_is_given_up = true;
     unlink();
-    boost::system::error_code ignored;
-    m_stream.socket().close(ignored);
+    reset_stream(m_stream);
 }
 
 target_loads::target_loads(blackboard& board)
