Version numbers that are out of range are refused as bad syntax

Seen by operators: show, restore, watch and diff with a number of more than 20 digits ended with status 134.

Cause: four places checked for digits and called std::stoull, whose exception nobody took. Evidence: "terminate called after throwing an instance of std::out_of_range". Fix: one parser with a typed error, which the operators API uses as well; other conversions of outside text are guarded already.

Test: integration-command_line, "a version number that is out of range is refused", red before (status 134 in place of 2).

--- a/apps/tiller/drafts.cpp
+++ b/apps/tiller/drafts.cpp
@@ -4,6 +4,7 @@
 #include "tillerhall/table/column.hpp"
 #include "tillerhall/table/csv.hpp"
 #include "tillerhall/table/delta.hpp"
+#include "tillerhall/table/version_number.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -92,7 +93,7 @@
     return {};
 }
 
-bool is_version(const std::string& text)
+bool is_all_digits(const std::string& text)
 {
     return !text.empty() && std::ranges::all_of(text, [](unsigned char c)
                                                 { return std::isdigit(c); });
@@ -102,10 +103,17 @@
 result<config_table> read_version_or_draft(invocation& given,
                                            const std::string& argument)
 {
-    std::uint64_t ignored = 0;
-    const auto text = is_version(argument)
-                          ? given.mesh.read_csv(std::stoull(argument), ignored)
-                          : read_file(argument);
+    auto text = result<std::string>(std::string());
+    if (is_all_digits(argument))
+    {
+        const auto version = parse_version(argument);
+        if (!version)
+            return version.reason();
+        std::uint64_t ignored = 0;
+        text = given.mesh.read_csv(*version, ignored);
+    }
+    else
+        text = read_file(argument);
     if (!text)
         return text.reason();
     auto outcome = read_csv(*text);
@@ -121,11 +129,10 @@
     std::uint64_t version = 0;
     if (!given.arguments.empty())
     {
-        if (!is_version(given.arguments[0]))
-            return fail(error(error_code::bad_syntax,
-                              "\"" + given.arguments[0] + "\" is not a version",
-                              "give a number from `tiller history`"));
-        version = std::stoull(given.arguments[0]);
+        const auto asked = parse_version(given.arguments[0]);
+        if (!asked)
+            return fail(asked.reason());
+        version = *asked;
     }
     std::uint64_t read = 0;
     const auto text = given.mesh.read_csv(version, read);
--- a/apps/tiller/versions.cpp
+++ b/apps/tiller/versions.cpp
@@ -3,6 +3,7 @@
 
 #include "tillerhall/core/random.hpp"
 #include "tillerhall/table/csv.hpp"
+#include "tillerhall/table/version_number.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -172,14 +173,11 @@
 
 int run_restore(invocation& given)
 {
-    const auto& argument = given.arguments[0];
-    if (argument.empty() || !std::ranges::all_of(argument, [](unsigned char c)
-                                                 { return std::isdigit(c); }))
-        return fail(error(error_code::bad_syntax,
-                          "\"" + argument + "\" is not a version",
-                          "give a number from `tiller history`"));
+    const auto asked = parse_version(given.arguments[0]);
+    if (!asked)
+        return fail(asked.reason());
     std::uint64_t version = 0;
-    const auto old = given.mesh.read_csv(std::stoull(argument), version);
+    const auto old = given.mesh.read_csv(*asked, version);
     if (!old)
         return fail(old.reason());
     // The base is the newest version, so an accept in between is a conflict.
@@ -233,13 +231,10 @@
     std::uint64_t version = 0;
     if (!given.arguments.empty())
     {
-        const auto& argument = given.arguments[0];
-        if (!std::ranges::all_of(argument, [](unsigned char c)
-                                 { return std::isdigit(c); }))
-            return fail(error(error_code::bad_syntax,
-                              "\"" + argument + "\" is not a version",
-                              "give a number from `tiller history`"));
-        version = std::stoull(argument);
+        const auto asked = parse_version(given.arguments[0]);
+        if (!asked)
+            return fail(asked.reason());
+        version = *asked;
     }
     return watch_version(given, version);
 }
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -2,6 +2,7 @@
 #include "tillerhall/node/operator_json.hpp"
 #include "tillerhall/node/operator_token.hpp"
 #include "tillerhall/table/csv.hpp"
+#include "tillerhall/table/version_number.hpp"
 
 #include <algorithm>
 #include <array>
@@ -40,13 +41,8 @@
 /** Returns the version number, 0 if absent, or nullopt if malformed. */
 std::optional<std::uint64_t> version_param(const http_request& request)
 {
-    const auto text = request.param("version", "0");
-    const bool digits = !text.empty() && text.size() < 19 &&
-                        std::ranges::all_of(text, [](unsigned char c)
-                                            { return std::isdigit(c) != 0; });
-    if (!digits)
-        return std::nullopt;
-    return std::stoull(text);
+    const auto version = parse_version(request.param("version", "0"));
+    return version ? std::optional(*version) : std::nullopt;
 }
 
 error bad_version(const http_request& request)
--- a/tests/integration/command_line.cpp
+++ b/tests/integration/command_line.cpp
@@ -205,6 +205,31 @@
         });
 }
 
+TEST_CASE("a version number that is out of range is refused")
+{
+    // Guards against commands that abort by an uncaught exception.
+    on_worker(
+        [](worker& on)
+        {
+            constexpr const char* too_large = "999999999999999999999";
+            constexpr int usage = 2;
+            tiller_session session(on);
+            const auto draft = session.write("draft.csv", session.system.csv());
+            const std::vector<std::vector<std::string>> commands{
+                {"show", too_large},
+                {"restore", too_large},
+                {"watch", too_large},
+                {"diff", too_large, draft}};
+            for (const auto& each : commands)
+            {
+                const auto answer = session.tiller(each);
+                INFO(each.front() << ": " << answer.err);
+                CHECK(answer.code == usage);
+                CHECK(answer.err.find("is not a version") != std::string::npos);
+            }
+        });
+}
+
 TEST_CASE("every command has help with an example and is in the completion")
 {
     const auto program = program_folder() + "/tiller";
