Fields of an owner are set only if its entry erases them

Seen by callers: Tillerhall-Incoming in answers that came through another node while the owner received a body.

Cause: the list of fields to erase was kept apart from the code that sets them and lacked this one. Fix: the owner sets fields by names of that list only; another name does not compile. The fields of calls are set in the same way.

Tests: "no field between nodes remains in an answer for the caller" (unit) and "callers get no field that nodes exchange" (mesh_node), both red before.

--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -32,7 +32,45 @@
     hop_field::link_backlog_ms, hop_field::reason,
     hop_field::retry_after_ms,  hop_field::others_refuse,
     hop_field::target_crashed,  hop_field::with_room,
-    hop_field::slowness,        hop_field::return_handled};
+    hop_field::slowness,        hop_field::return_handled,
+    hop_field::incoming};
+
+/** Name of a field that the receiver removes, since it is in @p list; another
+ * name does not compile. */
+template <const auto& list>
+class listed_field
+{
+public:
+    // NOLINTNEXTLINE(google-explicit-constructor): used as an argument
+    consteval listed_field(const char* name)
+        : m_name(name)
+    {
+        if (std::ranges::find(list, std::string_view(name),
+                              [](const char* each)
+                              { return std::string_view(each); }) == list.end())
+            throw "the field is missing in the list";
+    }
+
+    const char* name() const noexcept { return m_name; }
+
+private:
+    const char* m_name;
+};
+
+void set_field(whole_request& request,
+               listed_field<call_fields> field,
+               std::string_view value)
+{
+    request.set(field.name(), value);
+}
+
+void set_field(whole_response& response,
+               listed_field<answer_fields> field,
+               std::string_view value)
+{
+    response.set(field.name(), value);
+}
+
 constexpr unsigned refusal_status = 503;
 
 template <class Number>
@@ -120,40 +158,45 @@
     // Optional fields are not always set; a client may have sent its own.
     for (const auto* name : call_fields)
         request.erase(name);
-    request.set(hop_field::service, call.service);
-    request.set(hop_field::origin, call.origin);
-    request.set(hop_field::kind,
-                std::to_string(static_cast<unsigned>(call.kind)));
-    request.set(hop_field::rank, std::to_string(call.rank));
-    request.set(hop_field::time_left_ms, std::to_string(std::max<std::int64_t>(
-                                             0, to_ms(call.deadline - now))));
-    request.set(hop_field::objective_ms, std::to_string(to_ms(call.objective)));
+    set_field(request, hop_field::service, call.service);
+    set_field(request, hop_field::origin, call.origin);
+    set_field(request, hop_field::kind,
+              std::to_string(static_cast<unsigned>(call.kind)));
+    set_field(request, hop_field::rank, std::to_string(call.rank));
+    set_field(
+        request, hop_field::time_left_ms,
+        std::to_string(std::max<std::int64_t>(0, to_ms(call.deadline - now))));
+    set_field(request, hop_field::objective_ms,
+              std::to_string(to_ms(call.objective)));
     if (call.elapsed > duration::zero())
-        request.set(hop_field::elapsed_ms, std::to_string(to_ms(call.elapsed)));
+        set_field(request, hop_field::elapsed_ms,
+                  std::to_string(to_ms(call.elapsed)));
     if (call.nested)
-        request.set(hop_field::nested, "1");
+        set_field(request, hop_field::nested, "1");
     if (call.parent_rank)
-        request.set(hop_field::queue_rank, std::to_string(*call.parent_rank));
+        set_field(request, hop_field::queue_rank,
+                  std::to_string(*call.parent_rank));
     if (call.parent_left)
-        request.set(hop_field::parent_left_ms,
-                    std::to_string(to_ms(*call.parent_left)));
+        set_field(request, hop_field::parent_left_ms,
+                  std::to_string(to_ms(*call.parent_left)));
     if (call.account)
     {
-        request.set(hop_field::has_accounts, "1");
-        request.set(hop_field::account_name, *call.account);
-        request.set(hop_field::account_rank, std::to_string(call.account_rank));
+        set_field(request, hop_field::has_accounts, "1");
+        set_field(request, hop_field::account_name, *call.account);
+        set_field(request, hop_field::account_rank,
+                  std::to_string(call.account_rank));
         if (call.account_weight != 1)
-            request.set(hop_field::account_weight,
-                        thousandths(call.account_weight));
+            set_field(request, hop_field::account_weight,
+                      thousandths(call.account_weight));
     }
     if (call.is_probe)
-        request.set(hop_field::probe, "1");
+        set_field(request, hop_field::probe, "1");
     if (call.from_other_domain)
-        request.set(hop_field::other_domain, "1");
+        set_field(request, hop_field::other_domain, "1");
     if (call.is_repeat)
-        request.set(hop_field::repeat, "1");
+        set_field(request, hop_field::repeat, "1");
     if (call.return_handled)
-        request.set(hop_field::return_handled, "1");
+        set_field(request, hop_field::return_handled, "1");
     write_constraints(request, call.constraints);
 }
 
@@ -213,36 +256,37 @@
             ? std::move(*answer.response)
             : whole_response(static_cast<http::status>(refusal_status), 11);
     response.set(id_field, call.request_id);
-    response.set(hop_field::end, name_of(answer.end));
-    response.set(hop_field::reached, answer.reached ? "1" : "0");
+    set_field(response, hop_field::end, name_of(answer.end));
+    set_field(response, hop_field::reached, answer.reached ? "1" : "0");
     if (answer.report.load)
-        response.set(hop_field::load, percent(*answer.report.load));
-    response.set(hop_field::run_ms, tenths(answer.report.run_ms));
-    response.set(hop_field::slots, tenths(answer.report.slots));
+        set_field(response, hop_field::load, percent(*answer.report.load));
+    set_field(response, hop_field::run_ms, tenths(answer.report.run_ms));
+    set_field(response, hop_field::slots, tenths(answer.report.slots));
     if (answer.report.slowness != 1)
-        response.set(hop_field::slowness, percent(answer.report.slowness));
+        set_field(response, hop_field::slowness,
+                  percent(answer.report.slowness));
     if (answer.report.incoming_bytes > 0)
-        response.set(hop_field::incoming,
-                     std::to_string(answer.report.incoming_bytes));
+        set_field(response, hop_field::incoming,
+                  std::to_string(answer.report.incoming_bytes));
     if (answer.report.link_backlog > milliseconds::zero())
-        response.set(hop_field::link_backlog_ms,
-                     std::to_string(answer.report.link_backlog.count()));
+        set_field(response, hop_field::link_backlog_ms,
+                  std::to_string(answer.report.link_backlog.count()));
     if (answer.report.is_saturated)
-        response.set(hop_field::saturated, "1");
+        set_field(response, hop_field::saturated, "1");
     if (answer.others_would_refuse)
-        response.set(hop_field::others_refuse, "1");
+        set_field(response, hop_field::others_refuse, "1");
     if (answer.target_crashed)
-        response.set(hop_field::target_crashed, "1");
+        set_field(response, hop_field::target_crashed, "1");
     if (answer.refused_with_room)
-        response.set(hop_field::with_room, "1");
+        set_field(response, hop_field::with_room, "1");
     if (answer.return_handled)
-        response.set(hop_field::return_handled, "1");
+        set_field(response, hop_field::return_handled, "1");
     write_constraints(response, answer.constraints);
     if (!answer.reason.empty())
-        response.set(hop_field::reason, answer.reason);
+        set_field(response, hop_field::reason, answer.reason);
     if (answer.retry_after > duration::zero())
-        response.set(hop_field::retry_after_ms,
-                     std::to_string(to_ms(answer.retry_after)));
+        set_field(response, hop_field::retry_after_ms,
+                  std::to_string(to_ms(answer.retry_after)));
     frame_by_length(response);
     return response;
 }
--- a/tests/integration/mesh_node.cpp
+++ b/tests/integration/mesh_node.cpp
@@ -629,3 +629,36 @@
             CHECK(by_peers >= 4);
         });
 }
+
+TEST_CASE("callers get no field that nodes exchange")
+{
+    // Guards against an owner's load report in the answer to a caller.
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            const auto& owner = system.hosts()[0];
+            // A body on its way to the owner is part of its load report.
+            auto sender = connect_stream(on.io(), owner.at.at("peer"),
+                                         std::chrono::seconds(5));
+            REQUIRE(sender);
+            const std::string unfinished =
+                "POST / HTTP/1.1\r\nHost: a\r\nX-Request-Attempt-Id: u\r\n"
+                "Content-Length: 50000\r\n\r\n";
+            boost::system::error_code failed;
+            boost::asio::async_write(**sender, boost::asio::buffer(unfinished),
+                                     await{failed});
+            sleep_for(on.io(), milliseconds(100));
+            const auto runs_before = owner.target->runs().size();
+            for (int i = 0; i < 40; ++i)
+            {
+                const auto answer =
+                    raw_exchange(on, system.hosts()[1].at["caller"],
+                                 get("f-" + std::to_string(i), "/fields/a"),
+                                 milliseconds(200));
+                CHECK(answer.find("200 OK") != std::string::npos);
+                CHECK(answer.find("Tillerhall-") == std::string::npos);
+            }
+            CHECK(owner.target->runs().size() > runs_before);
+        });
+}
--- a/tests/unit/owner_answer.cpp
+++ b/tests/unit/owner_answer.cpp
@@ -208,3 +208,38 @@
     CHECK_FALSE(runs.parent_of("a.1"));
     CHECK(runs.ids_name_parents());
 }
+
+TEST_CASE("no field between nodes remains in an answer for the caller")
+{
+    // Guards against load reports and other internals that reach callers.
+    owner_answer answer;
+    answer.end = call_end::answered;
+    answer.reached = true;
+    answer.reason = "r";
+    answer.retry_after = milliseconds(5);
+    answer.others_would_refuse = true;
+    answer.target_crashed = true;
+    answer.refused_with_room = true;
+    answer.return_handled = true;
+    answer.report = {.load = 0.5,
+                     .run_ms = 3,
+                     .slots = 4,
+                     .incoming_bytes = 50'000,
+                     .link_backlog = milliseconds(7),
+                     .is_saturated = true,
+                     .slowness = 2};
+    answer.constraints = target_constraints{
+        .start = "i-1", .rate_limit = 2.5, .is_leaving = true};
+    answer.response.emplace(http::status::ok, 11);
+    answer.response->set("X-Own", "kept");
+    const auto received = from_hop_response(to_hop_response(
+        std::move(answer), sample_call(steady_clock::now()), id_field));
+    REQUIRE(received.response);
+    CHECK(received.report.incoming_bytes == 50'000);
+    CHECK((*received.response)["X-Own"] == "kept");
+    for (const auto& each : *received.response)
+    {
+        INFO(each.name_string());
+        CHECK_FALSE(each.name_string().starts_with("Tillerhall-"));
+    }
+}
