The demonstration kills a node that its service can do without

Cause: one place of a service has weight 0 by then, and the killed node has the only other target. Evidence: the refused call names that service; with 13 nodes there are others. Fix: the place gets its weight back, and the node is one whose service another node serves.

--- a/benchmark/demo.cpp
+++ b/benchmark/demo.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <fstream>
+#include <optional>
 #include <set>
 #include <sstream>
 
@@ -44,6 +45,7 @@
         edit_and_accept();
         check_edited_weight();
         check_burn_report();
+        restore_weight();
         kill_and_restart();
         const auto end = sample_fleet(m_system);
         return finish(begin, end);
@@ -189,9 +191,35 @@
                "the burn report names the slow service and place");
     }
 
+    /** Lets the place take calls again, so that the next step can take a node
+     * away. */
+    void restore_weight()
+    {
+        std::ofstream(draft()) << tiller({"show"});
+        tiller({"edit", draft(), m_service, m_place, "weight=100"});
+        tiller({"accept", draft(), "--watch"});
+    }
+
+    /** @return the last node whose service another node serves as well. */
+    std::optional<std::size_t> dispensable_node()
+    {
+        const auto& nodes = m_system.nodes();
+        for (auto index = nodes.size(); index-- > 0;)
+            if (std::ranges::count_if(nodes,
+                                      [&](const harness::node_process& each) {
+                                          return each.place.service ==
+                                                 nodes[index].place.service;
+                                      }) > 1)
+                return index;
+        return std::nullopt;
+    }
+
     void kill_and_restart()
     {
-        const auto index = m_system.nodes().size() - 1;
+        const auto found = dispensable_node();
+        if (!found)
+            return print_progress("no service has two nodes: none is killed");
+        const auto index = *found;
         auto& victim = m_system.nodes()[index];
         print_progress("killing node " + victim.rpc.text());
         victim.runs.kill();
