--- a/src/observe/burn_tracker.cpp
+++ b/src/observe/burn_tracker.cpp
@@ -48,6 +48,12 @@
                           std::int64_t minute)
 {
     const std::lock_guard lock(m_mutex);
+    if (!m_series.contains(key))
+        std::erase_if(m_series,
+                      [minute](const auto& each) {
+                          return each.second.minutes.back().minute <=
+                                 minute - retention_minutes;
+                      });
     auto& recorded = m_series[key];
     if (recorded.minutes.empty() || recorded.minutes.back().minute != minute)
         recorded.minutes.push_back({minute, {}, version});
--- a/tests/unit/rpc_and_metrics.cpp
+++ b/tests/unit/rpc_and_metrics.cpp
@@ -1,4 +1,5 @@
 #include "tillerhall/node/messages.hpp"
+#include "tillerhall/observe/burn_tracker.hpp"
 #include "tillerhall/observe/latency_histogram.hpp"
 #include "tillerhall/observe/metrics.hpp"
 #include "tillerhall/rpc/codec.hpp"
@@ -88,3 +89,15 @@
     CHECK_THAT(text, Catch::Contains("# TYPE c_total counter\nc_total 3"));
     CHECK_THAT(text, Catch::Contains("h_count{a=\"1\"} 1"));
 }
+
+TEST_CASE("a burn report keeps no series without calls in its longest window")
+{
+    // Guards against memory that grows with every service that ever had calls.
+    constexpr std::int64_t longest_window = 360;
+    burn_tracker tracker;
+    for (int i = 0; i < 100; ++i)
+        tracker.record({"old-" + std::to_string(i), "a"}, "", 5, 1, 1'000);
+    CHECK(tracker.entries(1'000).size() == 100);
+    tracker.record({"new", "a"}, "", 5, 1, 1'000 + longest_window);
+    CHECK(tracker.entries(1'000 + longest_window).size() == 1);
+}
