Stored answers and refused claims have the bounds that they name

Found by reading; the old code could not be tested alone, so that the new tests were not run on it. Fix: answer_cache replaces the earlier answer, bounded_set keeps the newest members.

--- a/include/tillerhall/node/claim_controller.hpp
+++ b/include/tillerhall/node/claim_controller.hpp
@@ -2,7 +2,9 @@
  * stored in the table service. */
 #pragma once
 
+#include "tillerhall/core/bounded_set.hpp"
 #include "tillerhall/http/relay.hpp"
+#include "tillerhall/node/answer_cache.hpp"
 #include "tillerhall/node/mesh_state.hpp"
 #include "tillerhall/routing/claim_shard.hpp"
 #include "tillerhall/store/table_service.hpp"
@@ -12,7 +14,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace tillerhall
@@ -69,6 +70,9 @@
                 const std::optional<stored_answer>& answer);
 
 private:
+    static constexpr std::size_t max_cached_bytes = 16 * 1024 * 1024;
+    static constexpr std::size_t max_abandoned = 10'000;
+
     struct pending_claim;
     using claim_batch = std::list<std::shared_ptr<pending_claim>>;
 
@@ -98,7 +102,6 @@
     check_existing(const claim_shard& shard,
                    const pending_claim& pending) const;
     void resolve(pending_claim& pending, claim_answer answer);
-    void cache_answer(const std::string& key, const stored_answer& answer);
 
     mesh_state& m_mesh;
     table_service& m_store;
@@ -107,11 +110,9 @@
     claim_batch m_pending;
     std::map<std::string, finished_claim>
         m_finished; ///< results not yet stored
-    std::set<std::uint64_t>
-        m_abandoned; ///< nonces of claims whose calls were refused
-    std::map<std::string, stored_answer> m_cached_answers;
-    std::list<std::string> m_cached_order; ///< oldest first
-    std::size_t m_cached_bytes = 0;
+    /** Nonces of claims whose calls were refused. */
+    bounded_set<std::uint64_t> m_abandoned{max_abandoned};
+    answer_cache m_cached_answers{max_cached_bytes};
 };
 
 } // namespace tillerhall
--- a/src/node/claim_controller.cpp
+++ b/src/node/claim_controller.cpp
@@ -21,8 +21,6 @@
 constexpr milliseconds claim_timeout(3000);
 constexpr milliseconds rpc_timeout(4000);
 constexpr unsigned max_attempts = 6;
-constexpr std::size_t max_cached_bytes = 16 * 1024 * 1024;
-constexpr std::size_t max_abandoned = 10'000;
 
 constexpr const char* claim_method = "claim";
 constexpr const char* finish_method = "claimed";
@@ -207,8 +205,7 @@
         return *pending->answer;
     // The call is refused as not run, so the key must count as unclaimed even
     // if the write still takes effect.
-    if (m_abandoned.size() < max_abandoned)
-        m_abandoned.insert(pending->wanted.nonce);
+    m_abandoned.insert(pending->wanted.nonce);
     m_pending.remove(pending);
     return {};
 }
@@ -220,24 +217,7 @@
 {
     m_finished[key] = {"", state};
     if (answer && state == claim_state::done)
-        cache_answer(key, *answer);
-}
-
-void claim_controller::cache_answer(const std::string& key,
-                                    const stored_answer& answer)
-{
-    m_cached_answers[key] = answer;
-    m_cached_order.push_back(key);
-    m_cached_bytes += answer.body.size();
-    while (m_cached_bytes > max_cached_bytes)
-    {
-        const auto oldest = m_cached_answers.find(m_cached_order.front());
-        m_cached_order.pop_front();
-        if (oldest == m_cached_answers.end())
-            continue;
-        m_cached_bytes -= oldest->second.body.size();
-        m_cached_answers.erase(oldest);
-    }
+        m_cached_answers.put(key, *answer);
 }
 
 void claim_controller::write_loop()
@@ -292,9 +272,8 @@
     if (state == claim_state::unknown)
         return claim_answer{claim_outcome::may_have_run, std::nullopt};
     claim_answer answer{claim_outcome::already_ran, std::nullopt};
-    if (const auto kept = m_cached_answers.find(known->key);
-        kept != m_cached_answers.end())
-        answer.answer = kept->second;
+    if (const auto* kept = m_cached_answers.find(known->key))
+        answer.answer = *kept;
     return answer;
 }
 
--- a/tests/unit/claims.cpp
+++ b/tests/unit/claims.cpp
@@ -1,4 +1,6 @@
 #include "generators.hpp"
+#include "tillerhall/core/bounded_set.hpp"
+#include "tillerhall/node/answer_cache.hpp"
 #include "tillerhall/routing/claim_shard.hpp"
 
 #include <set>
@@ -107,3 +109,35 @@
     shard.put({"k", "b", 1, claim_state::released}, 20);
     CHECK(shard.find("k", 20) == nullptr);
 }
+
+TEST_CASE("stored answers take no more memory than allowed")
+{
+    // Guards against a key stored twice, whose first body stayed counted, so
+    // that the cache held less and less.
+    constexpr std::size_t body_bytes = 100;
+    answer_cache cache(10 * body_bytes);
+    const stored_answer answer{200, "text/plain", std::string(body_bytes, 'x')};
+    for (int i = 0; i < 50; ++i)
+        cache.put("same", answer);
+    CHECK(cache.bytes() == body_bytes);
+    for (int i = 0; i < 50; ++i)
+        cache.put("key-" + std::to_string(i), answer);
+    CHECK(cache.bytes() == 10 * body_bytes);
+    CHECK(cache.size() == 10);
+    CHECK(cache.find("same") == nullptr);
+    CHECK(cache.find("key-49") != nullptr);
+    cache.put("large", {200, "", std::string(11 * body_bytes, 'x')});
+    CHECK(cache.find("large") == nullptr);
+    CHECK(cache.bytes() <= 10 * body_bytes);
+}
+
+TEST_CASE("a bounded set keeps its newest members")
+{
+    bounded_set<int> kept(3);
+    for (const int member : {1, 2, 2, 3, 4, 1})
+        kept.insert(member);
+    CHECK(kept.size() == 3);
+    CHECK_FALSE(kept.contains(2));
+    CHECK(kept.contains(1));
+    CHECK(kept.contains(4));
+}
