--- a/src/routing/queue_wait.cpp
+++ b/src/routing/queue_wait.cpp
@@ -8,12 +8,10 @@
 {
 
 // Maximum wait of a call in a standing queue, as a fraction of its objective. A
-// longer wait would serve no more calls, but start each of them later. Of a
-// half, a quarter, an eighth and a sixteenth the last served most in time.
+// longer wait would serve no more calls, but start each of them later.
 constexpr int wait_divisor = 16;
 // The same for a nested call. It may wait longer, because a refusal fails a run
-// that already holds a slot elsewhere. A third is 40 ms of 120 ms: with 30 ms
-// runs failed needlessly, with 200 ms callers' calls were refused first.
+// that already holds a slot elsewhere.
 constexpr int nested_wait_divisor = 3;
 // The same while the target has a rate limit. A call that waits for its rate
 // takes no slot from others.
