The line unanswered_call says what the target reported and which answers are under way

Callers lost a request whose target ran it: its owner had given it up as unanswered. The line named only target and age, so it could not tell a call that the target lacks from one whose answer is being received.

Change: an exchange reports when its request is sent and when its response begins (exchange_observer). The line adds the calls that the target reported and when, those sent, those whose answer is being received, and whether the call given up is one of these.

--- a/include/tillerhall/http/exchange.hpp
+++ b/include/tillerhall/http/exchange.hpp
@@ -11,6 +11,8 @@
 namespace tillerhall
 {
 
+class exchange_observer;
+
 /** How an exchange ended. */
 enum class exchange_end
 {
@@ -29,6 +31,7 @@
     time_point deadline;
     std::string id_field; ///< response field that must hold `id`
     std::string id;       ///< value of `id_field`; other responses are skipped
+    exchange_observer* observer = nullptr; ///< may be null
 };
 
 struct exchange_result
--- a/include/tillerhall/proxy/target_loads.hpp
+++ b/include/tillerhall/proxy/target_loads.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tillerhall/core/result.hpp"
+#include "tillerhall/http/exchange_observer.hpp"
 #include "tillerhall/http/stream.hpp"
 #include "tillerhall/proxy/bounded_state_log.hpp"
 #include "tillerhall/routing/foreign_runs.hpp"
@@ -41,8 +42,9 @@
         const boost::beast::http::fields&)>;
 
     /** A call that was sent to the target and is not answered. */
-    class sent_call
-        : public boost::intrusive::list_base_hook<
+    class sent_call final
+        : public exchange_observer,
+          public boost::intrusive::list_base_hook<
               boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
     {
     public:
@@ -61,13 +63,20 @@
          */
         bool has_input() const;
 
+        /** @return whether its response is being received. */
+        bool is_answering() const noexcept { return m_is_answering; }
+
         /** Ends the exchange, with an unknown outcome. */
         void give_up();
 
+        void request_sent() override {}
+        void response_began() override { m_is_answering = true; }
+
     private:
         tcp_stream& m_stream;
         time_point m_sent;
         time_point m_overdue_from;
+        bool m_is_answering = false;
         bool m_is_given_up = false;
     };
 
@@ -115,7 +124,8 @@
     slowness_tracker m_speed;
     foreign_runs m_foreign;
     missing_calls m_missing;
-    time_point m_last_report{}; ///< of this start; unset without one
+    time_point m_last_report{};        ///< of this start; unset without one
+    std::int64_t m_reported_calls = 0; ///< in that report
     bounded_state_log m_slow_log;
     bounded_state_log m_foreign_log;
     /** The oldest first. */
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,6 +1,7 @@
 #include "tillerhall/http/exchange.hpp"
 #include "tillerhall/core/await.hpp"
 #include "tillerhall/core/worker.hpp"
+#include "tillerhall/http/exchange_observer.hpp"
 
 #include <array>
 #include <boost/beast/core/error.hpp>
@@ -69,6 +70,8 @@
         m_write_failed = failed.failed();
         if (failed && !m_result.response)
             fail(failed, "sending failed");
+        if (!failed && m_plan.observer != nullptr)
+            m_plan.observer->request_sent();
     }
 
     void read()
@@ -80,18 +83,30 @@
             parser.body_limit(max_response_body_bytes);
             parser.skip(m_request.method() == http::verb::head);
             boost::system::error_code failed;
-            http::async_read(m_stream, m_buffer, parser, await{failed});
+            http::async_read_header(m_stream, m_buffer, parser, await{failed});
+            const bool is_own =
+                !failed && parser.get()[m_plan.id_field] == m_plan.id;
+            if (is_own && is_final(parser) && m_plan.observer != nullptr)
+                m_plan.observer->response_began();
+            if (!failed && !parser.is_done())
+                http::async_read(m_stream, m_buffer, parser, await{failed});
             if (failed)
                 return fail(failed, "no whole response came");
-            if (parser.get().result_int() < 200)
-                continue; // an interim response
-            if (parser.get()[m_plan.id_field] == m_plan.id)
+            if (!is_final(parser))
+                continue;
+            if (is_own)
                 return accept(parser);
             if (!parser.keep_alive() || ++m_result.skipped > max_skipped)
                 return fail({}, "the response belongs to another request");
         }
     }
 
+    /** @return false for an interim response. */
+    static bool is_final(const response_parser& parser)
+    {
+        return parser.get().result_int() >= 200;
+    }
+
     void accept(response_parser& parser)
     {
         m_keep_alive = parser.keep_alive() && !parser.need_eof();
--- a/src/proxy/target_loads.cpp
+++ b/src/proxy/target_loads.cpp
@@ -94,6 +94,7 @@
     m_missing.take({(*load)->calls() - m_foreign.answered_run(ran), own,
                     settled, received});
     m_last_report = received;
+    m_reported_calls = (*load)->calls();
     m_foreign.take({.calls = (*load)->calls(),
                     .own = own,
                     .own_settled = settled,
@@ -115,7 +116,14 @@
         m_board.metrics.get(unanswered_metric).add();
         m_board.call_lines.write(
             log_level::info, "unanswered_call",
-            {{"target", m_start}, {"age_ms", to_ms(now - each.sent())}});
+            {{"target", m_start},
+             {"age_ms", to_ms(now - each.sent())},
+             {"is_answering", each.is_answering() ? 1 : 0},
+             {"reported", m_reported_calls},
+             {"sent", std::ssize(m_sent_calls)},
+             {"answering",
+              std::ranges::count_if(m_sent_calls, &sent_call::is_answering)},
+             {"report_age_ms", to_ms(now - m_last_report)}});
     }
 }
 
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -758,9 +758,10 @@
     std::optional<target_loads::sent_call> outstanding;
     outstanding.emplace(m_loads, **stream, sent_at, expected_run(call));
     start_following();
-    auto result =
-        exchange(**stream, sent,
-                 {call.deadline, m_names.request_id, call.request_id}, scope);
+    auto result = exchange(
+        **stream, sent,
+        {call.deadline, m_names.request_id, call.request_id, &*outstanding},
+        scope);
     if (outstanding->is_given_up() && result.end == exchange_end::unknown)
         result.detail = "the target left the call unanswered";
     outstanding.reset();
