Only reports whose round trip is known show that a target lacks a call

Cause: a call counted as missing when the reports of 100 ms had fewer calls than were sent without a whole answer. An answer of 90 KB on a full link is under way for longer, so it was counted as a call that the target lacks. The oldest overdue call was then given up, which may be another one that runs.

Fix: calls whose answer has begun are not counted. Only health checks and refusals are evidence, since their round trip tells for how long requests and answers are under way; answers that begin within two round trips after the report explain what it lacks. All calls that the proof covers must be missing, so that no running one is taken for them, and two proofs are needed.

--- a/include/tillerhall/proxy/target_loads.hpp
+++ b/include/tillerhall/proxy/target_loads.hpp
@@ -19,6 +19,7 @@
 {
 
 class metric;
+class worker;
 struct blackboard;
 
 /** Gauge of the target's slowness in percent; 100 is the usual. */
@@ -41,7 +42,7 @@
     using reader = std::function<std::optional<result<target_load>>(
         const boost::beast::http::fields&)>;
 
-    /** A call that was sent to the target and is not answered. */
+    /** A call to the target without a complete answer. */
     class sent_call final
         : public exchange_observer,
           public boost::intrusive::list_base_hook<
@@ -52,35 +53,44 @@
          * @param run expected run time */
         sent_call(target_loads& in,
                   tcp_stream& stream,
-                  time_point sent,
+                  time_point begun,
                   duration run);
+        ~sent_call();
+        sent_call(const sent_call&) = delete;
+        sent_call& operator=(const sent_call&) = delete;
 
-        time_point sent() const noexcept { return m_sent; }
+        time_point begun() const noexcept { return m_begun; }
         time_point overdue_from() const noexcept { return m_overdue_from; }
         bool is_given_up() const noexcept { return m_is_given_up; }
 
-        /** @return whether a response is here that a busy worker has not read.
-         */
-        bool has_input() const;
+        /** @return whether no byte of its answer has arrived; also notes an
+         * answer that a busy worker has not read. */
+        bool is_silent();
+
+        /** @return whether its request was sent after @p from and until
+         * @p until, and no answer to it is known. */
+        bool was_sent(time_point from, time_point until) const noexcept;
 
-        /** @return whether its response is being received. */
         bool is_answering() const noexcept { return m_is_answering; }
 
         /** Ends the exchange, with an unknown outcome. */
         void give_up();
 
-        void request_sent() override {}
-        void response_began() override { m_is_answering = true; }
+        void request_sent() override;
+        void response_began() override;
 
     private:
+        target_loads& m_in;
         tcp_stream& m_stream;
-        time_point m_sent;
+        time_point m_begun;
         time_point m_overdue_from;
+        /** When the whole request was sent; unset before. */
+        std::optional<time_point> m_sent;
         bool m_is_answering = false;
         bool m_is_given_up = false;
     };
 
-    explicit target_loads(blackboard& board);
+    target_loads(blackboard& board, const worker& on);
 
     /** Sets the function that reads loads; null if targets report none. */
     void set_reader(reader read) { m_read = std::move(read); }
@@ -93,13 +103,15 @@
      * Takes the head of a response of @p start to a call that is no longer
      * among the sent ones; ignores other starts.
      * @param ran the response is that of a run, not a refusal or a health check
+     * @param sent when the request of the response was sent
      */
     void take(const std::string& start,
               const boost::beast::http::fields& head,
               bool ran,
+              time_point sent,
               time_point received);
 
-    /** Gives up the oldest overdue calls that the target does not have; updates
+    /** Gives up overdue calls that the target certainly lacks; updates
      * gauges and log lines of states that end without a report. */
     void update(time_point now);
 
@@ -114,18 +126,23 @@
     const foreign_runs& foreign() const noexcept { return m_foreign; }
 
 private:
+    void take_missing(std::int64_t calls, time_point sent, time_point received);
     void give_up_missing(time_point now);
+    void give_up(sent_call& call, time_point now);
     /** Logs the first load of a start that cannot be read. */
     void log_invalid(const error& reason);
 
     blackboard& m_board;
+    const worker& m_worker;
     reader m_read;
     std::string m_start;
+    time_point m_start_known_at{};
     slowness_tracker m_speed;
     foreign_runs m_foreign;
     missing_calls m_missing;
     time_point m_last_report{};        ///< of this start; unset without one
     std::int64_t m_reported_calls = 0; ///< in that report
+    bool m_suspects_missing = false;   ///< by that report
     bounded_state_log m_slow_log;
     bounded_state_log m_foreign_log;
     /** The oldest first. */
--- a/include/tillerhall/routing/missing_calls.hpp
+++ b/include/tillerhall/routing/missing_calls.hpp
@@ -4,60 +4,77 @@
 #include "tillerhall/core/time.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace tillerhall
 {
 
 /**
- * Derives from the loads that a target reports how many calls it has left
- * unanswered: those that it neither runs nor has queued. Answers a target that
- * takes calls which it cannot queue; without this each holds a slot until its
- * deadline. Does no I/O.
+ * Derives from the loads that a target reports which calls it has left
+ * unanswered: those that it neither runs nor has queued, and whose answers are
+ * not under way. Answers a target that takes calls which it cannot queue;
+ * without this each holds a slot until its deadline. Does no I/O.
+ *
+ * Only responses that took no run are evidence: their round trip bounds the
+ * time that requests and answers are under way. The reported calls are
+ * compared with the settled ones, those that were sent a round trip before.
+ * Answers that begin within `transit_trips` round trips after the report may
+ * have been under way when it was made, so each of them explains one settled
+ * call that the report lacks. What is left is the number of missing calls, and
+ * once no other settled call is without an answer, all that are left are
+ * missing. Two such proofs are required. A report with more missing calls
+ * replaces one that proves nothing yet.
  */
 class missing_calls
 {
 public:
-    /**
-     * How long the calls must be missing. An answer that is under way when a
-     * report is received arrives within this time, also on a busy host.
-     */
-    static constexpr milliseconds confirm_time{100};
+    /** Answers are under way for at most so many round trips of a report. */
+    static constexpr int transit_trips = 2;
+    /** A report's round trip counts as at least this. */
+    static constexpr milliseconds min_trip{3};
 
-    /** A report with what the owner knew when it was received. */
+    /** A response that took no run, with what the owner knew when it came. */
     struct report
     {
         std::int64_t calls = 0; ///< running and waiting, as reported
-        std::int64_t sent = 0;  ///< sent and not answered
-        /** Those of them sent so long ago that the target must have counted
-         * them. */
+        /** Calls sent before `settled_until` whose answers have not begun. */
         std::int64_t settled = 0;
+        time_point sent{}; ///< when it was asked for
         time_point received{};
     };
 
+    /** @return until when calls must be sent to be settled in a report.
+     * @param sent when the report was asked for */
+    static time_point settled_until(time_point sent, time_point received);
+
     void take(const report& seen);
 
+    /** Notes that the answer of a call that was sent at @p sent has begun.
+     * @param arrived the earliest time at which it can have arrived */
+    void answer_began(time_point sent, time_point arrived);
+
+    /** Notes that a call ended before its answer began. */
+    void call_ended(time_point sent);
+
     /** Forgets all reports: another start of the target is in use. */
     void reset() { *this = {}; }
 
-    /** @return the calls that certainly are missing. */
-    std::int64_t count() const noexcept;
-
-    /** @return whether calls may be missing according to all reports. */
-    bool suspects_any() const noexcept { return m_at_most > 0; }
+    /** @return the time such that all calls which were sent until then, and
+     * whose answers have not begun, are missing; nothing without proof. */
+    std::optional<time_point> missing_until(time_point now);
 
-    /** Notes that one of the missing calls has been given up. */
-    void given_up()
+private:
+    /** What one report says of the calls that were settled in it. */
+    struct evidence
     {
-        --m_at_most;
-        --m_confirmed;
-    }
+        time_point settled_until{};
+        time_point in_transit_until{};
+        std::int64_t unanswered = 0; ///< settled calls without an answer
+        std::int64_t missing = 0;    ///< at least so many of them
+    };
 
-private:
-    /** What no report since `m_since` contradicts. */
-    std::int64_t m_at_most = 0;
-    std::int64_t m_confirmed = 0; ///< certain after `confirm_time`
-    time_point m_since{};
-    time_point m_received{};
+    std::optional<evidence> m_evidence;
+    std::optional<time_point> m_proved_until; ///< by an earlier report
 };
 
 } // namespace tillerhall
--- a/src/proxy/target_loads.cpp
+++ b/src/proxy/target_loads.cpp
@@ -1,7 +1,9 @@
 #include "tillerhall/proxy/target_loads.hpp"
+#include "tillerhall/core/worker.hpp"
 #include "tillerhall/node/blackboard.hpp"
 
 #include <cmath>
+#include <utility>
 
 namespace tillerhall
 {
@@ -27,19 +29,35 @@
 
 target_loads::sent_call::sent_call(target_loads& in,
                                    tcp_stream& stream,
-                                   time_point sent,
+                                   time_point begun,
                                    duration run)
-    : m_stream(stream)
-    , m_sent(sent)
-    , m_overdue_from(sent + std::max<duration>(run * overdue_runs, min_overdue))
+    : m_in(in)
+    , m_stream(stream)
+    , m_begun(begun)
+    , m_overdue_from(begun +
+                     std::max<duration>(run * overdue_runs, min_overdue))
 {
     in.m_sent_calls.push_back(*this);
 }
 
-bool target_loads::sent_call::has_input() const
+target_loads::sent_call::~sent_call()
+{
+    if (m_sent && !m_is_answering && !m_is_given_up)
+        m_in.m_missing.call_ended(*m_sent);
+}
+
+bool target_loads::sent_call::is_silent()
 {
     boost::system::error_code failed;
-    return m_stream.socket().available(failed) > 0;
+    if (!m_is_answering && m_stream.socket().available(failed) > 0)
+        response_began();
+    return !m_is_answering;
+}
+
+bool target_loads::sent_call::was_sent(time_point from,
+                                       time_point until) const noexcept
+{
+    return !m_is_answering && m_sent && from <= *m_sent && *m_sent <= until;
 }
 
 void target_loads::sent_call::give_up()
@@ -49,8 +67,20 @@
     reset_stream(m_stream);
 }
 
-target_loads::target_loads(blackboard& board)
+void target_loads::sent_call::request_sent()
+{
+    m_sent = steady_clock::now();
+}
+
+void target_loads::sent_call::response_began()
+{
+    if (!std::exchange(m_is_answering, true) && m_sent)
+        m_in.m_missing.answer_began(*m_sent, m_in.m_worker.earliest_arrival());
+}
+
+target_loads::target_loads(blackboard& board, const worker& on)
     : m_board(board)
+    , m_worker(on)
     , m_slow_log(board, {"target_slow", "target_usual_speed"})
     , m_foreign_log(board, {"foreign_runs", "foreign_runs_ended"})
     , m_slowness(board.metrics.get(slowness_metric))
@@ -65,6 +95,8 @@
     if (start == m_start)
         return;
     m_start = start;
+    m_start_known_at = now;
+    m_suspects_missing = false;
     m_logged_invalid = false;
     m_speed.reset();
     m_missing.reset();
@@ -76,6 +108,7 @@
 void target_loads::take(const std::string& start,
                         const boost::beast::http::fields& head,
                         bool ran,
+                        time_point sent,
                         time_point received)
 {
     if (start != m_start)
@@ -88,13 +121,17 @@
         return log_invalid(load->reason());
     m_speed.take((*load)->slowness, received);
     const auto is_settled = [&](const sent_call& each)
-    { return each.sent() + settle_time <= received; };
+    { return each.begun() + settle_time <= received; };
     const auto settled = std::ranges::count_if(m_sent_calls, is_settled);
     const std::int64_t own = std::ssize(m_sent_calls);
-    m_missing.take({(*load)->calls() - m_foreign.answered_run(ran), own,
-                    settled, received});
     m_last_report = received;
     m_reported_calls = (*load)->calls();
+    const auto silent =
+        own - std::ranges::count_if(m_sent_calls, &sent_call::is_answering);
+    m_suspects_missing =
+        silent > m_reported_calls - m_foreign.answered_run(ran);
+    if (m_suspects_missing && !ran)
+        take_missing(m_reported_calls, sent, received);
     m_foreign.take({.calls = (*load)->calls(),
                     .own = own,
                     .own_settled = settled,
@@ -103,37 +140,54 @@
     update(received);
 }
 
+void target_loads::take_missing(std::int64_t calls,
+                                time_point sent,
+                                time_point received)
+{
+    const auto until = missing_calls::settled_until(sent, received);
+    const auto settled = std::ranges::count_if(
+        m_sent_calls, [&](sent_call& each)
+        { return each.was_sent(m_start_known_at, until) && each.is_silent(); });
+    m_missing.take({calls, settled, sent, received});
+}
+
 void target_loads::give_up_missing(time_point now)
 {
-    for (auto at = m_sent_calls.begin();
-         at != m_sent_calls.end() && m_missing.count() > 0;)
+    const auto until = m_missing.missing_until(now);
+    if (!until)
+        return;
+    for (auto at = m_sent_calls.begin(); at != m_sent_calls.end();)
     {
         auto& each = *at++;
-        if (now < each.overdue_from() || each.has_input())
-            continue;
-        each.give_up();
-        m_missing.given_up();
-        m_board.metrics.get(unanswered_metric).add();
-        m_board.call_lines.write(
-            log_level::info, "unanswered_call",
-            {{"target", m_start},
-             {"age_ms", to_ms(now - each.sent())},
-             {"is_answering", each.is_answering() ? 1 : 0},
-             {"reported", m_reported_calls},
-             {"sent", std::ssize(m_sent_calls)},
-             {"answering",
-              std::ranges::count_if(m_sent_calls, &sent_call::is_answering)},
-             {"report_age_ms", to_ms(now - m_last_report)}});
+        if (now >= each.overdue_from() &&
+            each.was_sent(m_start_known_at, *until) && each.is_silent())
+            give_up(each, now);
     }
 }
 
+void target_loads::give_up(sent_call& call, time_point now)
+{
+    m_board.metrics.get(unanswered_metric).add();
+    m_board.call_lines.write(
+        log_level::info, "unanswered_call",
+        {{"target", m_start},
+         {"age_ms", to_ms(now - call.begun())},
+         {"reported", m_reported_calls},
+         {"sent", std::ssize(m_sent_calls)},
+         {"answering",
+          std::ranges::count_if(m_sent_calls, &sent_call::is_answering)},
+         {"report_age_ms", to_ms(now - m_last_report)}});
+    call.give_up();
+}
+
 bool target_loads::needs_report(duration recent, time_point now) const
 {
     if (m_last_report == time_point{} ||
-        (now < m_last_report + recent && !m_missing.suspects_any()))
+        (now < m_last_report + recent && !m_suspects_missing))
         return false;
-    return std::ranges::any_of(m_sent_calls, [&](const sent_call& each)
-                               { return now >= each.overdue_from(); });
+    return std::ranges::any_of(
+        m_sent_calls, [&](const sent_call& each)
+        { return !each.is_answering() && now >= each.overdue_from(); });
 }
 
 void target_loads::update(time_point now)
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -102,7 +102,7 @@
     , m_admission(limits_for(1))
     , m_pool(on.io(), max_idle, own_ip)
     , m_notices(names, board)
-    , m_loads(board)
+    , m_loads(board, on)
     , m_waits(board.metrics.histogram(wait_metric, "from=\"peer\""))
     , m_sends(board.metrics.get(target_sends_metric))
 {
@@ -181,11 +181,12 @@
         request.set(http::field::host, target.where.text());
         cancel_scope scope;
         // Any response is the right one, with or without a request id.
-        const exchange_plan plan{now + check_timeout, hop_field::query, ""};
+        const auto sent = steady_clock::now();
+        const exchange_plan plan{sent + check_timeout, hop_field::query, ""};
         const auto result = exchange(**stream, request, plan, scope);
         m_check_failed = !result.response;
         if (result.response)
-            m_loads.take(target.start(), *result.response, false,
+            m_loads.take(target.start(), *result.response, false, sent,
                          steady_clock::now());
         if (result.reusable)
             m_pool.give_back(target.where, std::move(*stream),
@@ -815,7 +816,7 @@
                                time_point sent)
 {
     m_loads.take(target.start(), response, response.count(m_names.not_run) == 0,
-                 steady_clock::now());
+                 sent, steady_clock::now());
     update_slots();
     const auto notice = m_notices.take(target.start(), response, sent);
     m_admission.set_pace(m_notices.rate_limit());
--- a/src/routing/missing_calls.cpp
+++ b/src/routing/missing_calls.cpp
@@ -1,32 +1,69 @@
 #include "tillerhall/routing/missing_calls.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tillerhall
 {
+namespace
+{
+
+duration round_trip(time_point sent, time_point received)
+{
+    return std::max<duration>(received - sent, missing_calls::min_trip);
+}
+
+} // namespace
+
+time_point missing_calls::settled_until(time_point sent, time_point received)
+{
+    return sent - round_trip(sent, received);
+}
 
 void missing_calls::take(const report& seen)
 {
-    if (seen.received < m_received)
+    const auto missing = seen.settled - seen.calls;
+    if (missing <= (m_evidence ? m_evidence->missing : 0))
+        return;
+    const auto transit = round_trip(seen.sent, seen.received) * transit_trips;
+    m_evidence =
+        evidence{.settled_until = settled_until(seen.sent, seen.received),
+                 .in_transit_until = seen.received + transit,
+                 .unanswered = seen.settled,
+                 .missing = missing};
+}
+
+void missing_calls::answer_began(time_point sent, time_point arrived)
+{
+    if (!m_evidence || sent > m_evidence->settled_until)
+        return;
+    --m_evidence->unanswered;
+    if (arrived <= m_evidence->in_transit_until)
+        --m_evidence->missing;
+    if (m_evidence->missing <= 0)
+        m_evidence.reset();
+}
+
+void missing_calls::call_ended(time_point sent)
+{
+    if (!m_evidence || sent > m_evidence->settled_until)
         return;
-    m_received = seen.received;
-    // Calls that are being sent may be part of the report or not.
-    const auto at_least = std::max<std::int64_t>(0, seen.settled - seen.calls);
-    const auto at_most = std::max<std::int64_t>(0, seen.sent - seen.calls);
-    if (m_at_most <= 0)
-    {
-        m_since = seen.received;
-        m_at_most = at_most;
-        m_confirmed = 0;
-    }
-    m_at_most = std::min(m_at_most, at_most);
-    if (seen.received - m_since >= confirm_time)
-        m_confirmed = std::max(m_confirmed, at_least);
+    --m_evidence->unanswered;
+    // Which kind it was is not known.
+    --m_evidence->missing;
+    if (m_evidence->missing <= 0)
+        m_evidence.reset();
 }
 
-std::int64_t missing_calls::count() const noexcept
+std::optional<time_point> missing_calls::missing_until(time_point now)
 {
-    return std::max<std::int64_t>(0, std::min(m_at_most, m_confirmed));
+    if (!m_evidence || now <= m_evidence->in_transit_until ||
+        m_evidence->unanswered > m_evidence->missing)
+        return std::nullopt;
+    const auto proved =
+        std::exchange(m_proved_until, m_evidence->settled_until);
+    m_evidence.reset();
+    return proved;
 }
 
 } // namespace tillerhall
--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -3,6 +3,7 @@
 #include "tillerhall/core/await.hpp"
 #include "tillerhall/http/whole_message.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
@@ -60,6 +61,7 @@
     : m_worker(on)
     , m_listener(std::move(*listener::open(on, {"127.0.0.1", 0})))
     , m_where(m_listener->local())
+    , m_reported_at(m_where)
     , m_id(std::move(id))
     , m_service(std::move(service))
 {
@@ -120,7 +122,7 @@
     if (m_has_crashed)
         return 0;
     boost::json::object body{
-        {"service", m_service}, {"address", where().text()},
+        {"service", m_service}, {"address", m_reported_at.text()},
         {"zone", "d1"},         {"version", m_release},
         {"slots", m_slots},     {"state", state},
         {"sequence", sequence}, {"coldRemaining", m_cold_for.count()}};
@@ -236,6 +238,9 @@
     else if (!consume(m_faults.unsealed_answers))
         response.set(seal_field, "proof-" + m_id);
     response.body() = "answer to " + std::string(call.head()[id_field]);
+    if (is_run)
+        response.body().resize(
+            std::max(response.body().size(), m_faults.body_bytes), '.');
     response.prepare_payload();
     auto text = text_of(response);
     const bool truncated = consume(m_faults.truncated_answers);
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -36,6 +36,7 @@
     bool reports_load = false;        ///< X-Backend-Load in answers
     unsigned load_percent = 100;      ///< its last figure
     bool load_includes_run = false;   ///< it counts the run that it answers
+    std::size_t body_bytes = 0;       ///< least size of the body of an answer
     unsigned unanswered = 0;          ///< takes the call and does nothing
 };
 
@@ -68,6 +69,9 @@
     reporting_target(worker& on, std::string id, std::string service);
 
     const address& where() const noexcept { return m_where; }
+    /** Sets another address for its reports, of a link before it. */
+    void set_reported_address(const address& link) { m_reported_at = link; }
+    const address& reported_address() const noexcept { return m_reported_at; }
     const std::string& id() const noexcept { return m_id; }
     /** Sets the software version in its reports. */
     void set_release(std::string release) { m_release = std::move(release); }
@@ -119,6 +123,7 @@
     worker& m_worker;
     std::unique_ptr<listener> m_listener;
     address m_where;
+    address m_reported_at;
     std::string m_id;
     std::string m_service;
     std::string m_release = "v1";
--- a/tests/integration/target_loads.cpp
+++ b/tests/integration/target_loads.cpp
@@ -16,9 +16,17 @@
 {
     static constexpr std::int64_t slots = 8;
 
-    explicit one_target(worker& on)
+    /** @param link_bytes_per_s of the link to the target; 0: unlimited */
+    explicit one_target(worker& on, double link_bytes_per_s = 0)
         : mesh_system(on, {"perceel", "beurs"})
     {
+        if (link_bytes_per_s > 0)
+        {
+            auto& link = keep_for_fibers(
+                std::make_shared<paced_link>(on, target().where()));
+            link.set_bytes_per_s(link_bytes_per_s);
+            target().set_reported_address(link.where());
+        }
         configure(1,
                   {{"fields", "/fields/", "perceel"},
                    {"once", "/once/", "perceel", "unsafe"}},
@@ -188,3 +196,40 @@
                   std::string::npos);
         });
 }
+
+TEST_CASE("a call is not given up while answers of others are under way")
+{
+    on_worker(
+        [](worker& on)
+        {
+            one_target system(on, 1'000'000);
+            auto& faults = system.target().faults();
+            faults.work = milliseconds(20);
+            for (int i = 0; i < 20; ++i)
+                system.call(system.hosts()[1], "l-" + std::to_string(i),
+                            i % 2 == 0 ? "/fields/x" : "/once/x");
+            // It begins before the others and runs until after them.
+            faults.work = milliseconds(1'800);
+            seen_answer longest;
+            run_parallel(
+                {[&] {
+                     longest =
+                         system.call(system.hosts()[1], "long", "/once/x");
+                 },
+                 [&]
+                 {
+                     REQUIRE(system.wait_until(
+                         [&] { return system.runs_of("long") == 1; }));
+                     faults.work = milliseconds(20);
+                     faults.body_bytes = 100'000;
+                     // They need more than the link carries.
+                     open_loop others(
+                         system, system.plan("o-", 12, milliseconds(1'400)));
+                     others.finish();
+                 }});
+            CHECK(longest.status == 200);
+            CHECK(system.metrics_of(system.hosts()[0])
+                      .find("tillerhall_unanswered_calls_total") ==
+                  std::string::npos);
+        });
+}
--- a/tests/support/mesh_system.hpp
+++ b/tests/support/mesh_system.hpp
@@ -280,7 +280,7 @@
                 .text();
         file << "  region: r\n  domain: " << host.domain
              << "\n  stop_grace_s: 4\ntarget:\n  service: " << host.service
-             << "\n  address: " << host.target->where().text()
+             << "\n  address: " << host.target->reported_address().text()
              << "\nplatform:\n  tables: " << store << "\n  objects: " << store
              << "\n  hosts: " << store
              << "\nmesh:\n  heartbeat_ms: 150\n  suspect_ms: 1000\n"
--- a/tests/unit/target_loads.cpp
+++ b/tests/unit/target_loads.cpp
@@ -5,6 +5,7 @@
  * another start of the target, and against a malformed one that counts.
  */
 #include "tillerhall/proxy/target_loads.hpp"
+#include "tillerhall/core/worker.hpp"
 #include "tillerhall/node/blackboard.hpp"
 #include "tillerhall/observe/log.hpp"
 
@@ -47,7 +48,7 @@
     {
         boost::beast::http::fields head;
         head.set(field, text);
-        loads.take(from, head, true, at(ms));
+        loads.take(from, head, true, at(ms), at(ms));
     }
 
     std::ptrdiff_t lines(std::string_view decision) const
@@ -56,8 +57,9 @@
         return std::ranges::count(noted, decision, &journal_entry::decision);
     }
 
+    worker on;
     blackboard board;
-    target_loads loads{board};
+    target_loads loads{board, on};
 };
 
 } // namespace
