A request that stalls does not end the calls before it

What callers see: a client that pipelines requests and sends the next head slower than the limit loses the answers of the earlier ones; their runs are cancelled at the target.

Cause: the timeout for reading a head or a body closes the whole connection. Found by reading; no play has shown it.

Fix: the timeouts of reading are extended while calls of the connection run, as the idle timeout was.

Test: "a stalled request does not end the calls before it", red before (no answer; the call was cancelled).

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -112,6 +112,8 @@
                  session_host& host);
 
     void wait_for_bytes();
+    /** @return the timeout of a read that may take @p limit by itself. */
+    duration read_timeout(duration limit) const;
     void on_read(const boost::system::error_code& failed, std::size_t size);
     void read_calls();
     bool read_call();
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -16,7 +16,8 @@
 
 // A client that does not read an answer for so long is taken for lost.
 constexpr std::chrono::seconds write_timeout(20);
-// Added to the idle timeout while calls of the connection are running.
+// Added to the timeouts of reading while calls of the connection are running: a
+// timeout closes the connection, which would end them.
 constexpr std::chrono::seconds max_call_time(60);
 // Enough for a body of the maximum size from a slow client.
 constexpr std::chrono::seconds body_timeout(20);
@@ -72,9 +73,7 @@
 void call_session::wait_for_bytes()
 {
     m_reading = true;
-    m_stream->expires_after(
-        m_host.limits().idle_timeout +
-        (m_pending.empty() ? duration::zero() : duration(max_call_time)));
+    m_stream->expires_after(read_timeout(m_host.limits().idle_timeout));
     m_stream->async_read_some(
         m_buffer.prepare(first_read_bytes),
         [self = shared_from_this()](const boost::system::error_code& failed,
@@ -82,6 +81,11 @@
         { self->on_read(failed, size); });
 }
 
+duration call_session::read_timeout(duration limit) const
+{
+    return m_pending.empty() ? limit : limit + max_call_time;
+}
+
 void call_session::on_read(const boost::system::error_code& failed,
                            std::size_t size)
 {
@@ -156,7 +160,7 @@
 {
     parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     parser.body_limit(limits.body_bytes);
-    m_stream->expires_after(limits.head_timeout);
+    m_stream->expires_after(read_timeout(limits.head_timeout));
     boost::system::error_code failed;
     http::async_read_header(*m_stream, m_buffer, parser, await{failed});
     if (!failed)
@@ -193,7 +197,7 @@
         return false;
     const byte_backlog::body in_transit(m_host.incoming,
                                         parser.content_length().value_or(0));
-    m_stream->expires_after(body_timeout);
+    m_stream->expires_after(read_timeout(body_timeout));
     boost::system::error_code failed;
     http::async_read(*m_stream, m_buffer, parser, await{failed});
     if (failed && is_malformed(failed))
