A planned stop counts its grace period from the signal and uses all of it

What callers see: connections cut in the middle of answers, since the node is killed while it stops or exits 0.2 s after it has ended its remaining calls.

Cause: the grace period was counted from the handling of SIGTERM, which a busy worker delays, and the last answers got a fixed time, also when more of the grace period was left.

Fix: stop_signal takes the time in the signal handler. stop_schedule holds the phases; a worker that was late is expected to be late again, so the last phases end earlier by that. The node exits when all answers are sent, at the latest 0.1 s before it would be killed.

--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -7,11 +7,13 @@
 #include "tillerhall/control/rollout_api.hpp"
 #include "tillerhall/control/rollout_reporter.hpp"
 #include "tillerhall/core/await.hpp"
+#include "tillerhall/core/stop_signal.hpp"
 #include "tillerhall/http/api_server.hpp"
 #include "tillerhall/http/call_session.hpp"
 #include "tillerhall/http/listener.hpp"
 #include "tillerhall/node/poison_calls_publisher.hpp"
 #include "tillerhall/node/self_record.hpp"
+#include "tillerhall/node/stop_schedule.hpp"
 #include "tillerhall/proxy/call_entry.hpp"
 
 #include <algorithm>
@@ -24,19 +26,9 @@
 namespace
 {
 
-// Readiness is checked each second and a node is removed after two failed
-// checks; until then it still receives calls.
-constexpr milliseconds max_leaving_time(3'000);
 // Time after the node stops serving, so that the last refusals are delivered.
 constexpr milliseconds min_finishing(200);
-// Part of the grace period that is reserved for delivering the last answers.
-constexpr milliseconds stop_margin(600);
-// Part of that margin for the error responses to calls still running then.
-constexpr milliseconds last_answers_wait(200);
 constexpr milliseconds poll_interval(50);
-// Largest share of the grace period in which new calls are served: 3/5.
-constexpr int serving_share_numerator = 3;
-constexpr int serving_share_denominator = 5;
 // Calls between nodes are limited by their own deadlines.
 constexpr std::size_t peer_head_bytes = 64 * 1024;
 constexpr std::size_t peer_body_bytes = 128 * 1024 * 1024;
@@ -55,6 +47,12 @@
     return made;
 }
 
+duration to_duration(double seconds)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+}
+
 http_response respond(unsigned status, const boost::json::object& body)
 {
     http_response response;
@@ -354,10 +352,9 @@
 
     void wait_for_stop()
     {
-        boost::asio::signal_set signals(main_worker.io(), SIGTERM, SIGINT);
-        boost::system::error_code failed;
-        signals.async_wait(await{failed});
-        planned_stop();
+        const auto signal = stop_requests.wait();
+        planned_stop(stop_schedule::of(signal, steady_clock::now(),
+                                       to_duration(config.stop_grace_s)));
     }
 
     /** Returns the number of calls whose answers are not fully sent,
@@ -367,6 +364,12 @@
         return client_host.unanswered + peer_host.unanswered;
     }
 
+    void wait_for_answers(time_point until)
+    {
+        while (unanswered_calls() > 0 && steady_clock::now() < until)
+            sleep_for(main_worker.io(), poll_interval);
+    }
+
     /** Answers the calls that outlast the grace period, so that their
      * connections are not cut. */
     void end_remaining_calls()
@@ -377,35 +380,26 @@
                              "the grace is over",
                              {{"in_flight", unanswered_calls()}});
         entry->end_calls();
-        sleep_for(main_worker.io(), last_answers_wait);
     }
 
-    void planned_stop()
+    void planned_stop(const stop_schedule& schedule)
     {
         board.phase = node_phase::leaving;
-        board.decisions.note("leaving", config.advertise_rpc.text(),
-                             "planned stop",
-                             {{"in_flight", unanswered_calls()}});
+        board.decisions.note(
+            "leaving", config.advertise_rpc.text(), "planned stop",
+            {{"in_flight", unanswered_calls()},
+             {"ends_in_ms", to_ms(schedule.calls_end - steady_clock::now())}});
         auto self = mesh->members.self();
         self.state = member_state::leaving;
         membership->announce_self(self);
         directory->own_record_changed();
-        const auto start_time = steady_clock::now();
-        const auto deadline = start_time +
-                              milliseconds(static_cast<std::int64_t>(
-                                  config.stop_grace_s * 1000)) -
-                              stop_margin;
-        const auto serve_until = std::min<time_point>(
-            start_time + max_leaving_time,
-            start_time + (deadline - start_time) * serving_share_numerator /
-                             serving_share_denominator);
-        while (steady_clock::now() < serve_until)
+        while (steady_clock::now() < schedule.serve_until)
             sleep_for(main_worker.io(), poll_interval);
         board.phase = node_phase::finishing;
-        while (steady_clock::now() < serve_until + min_finishing ||
-               (unanswered_calls() > 0 && steady_clock::now() < deadline))
-            sleep_for(main_worker.io(), poll_interval);
+        sleep_for(main_worker.io(), min_finishing);
+        wait_for_answers(schedule.calls_end);
         end_remaining_calls();
+        wait_for_answers(schedule.exit_by);
         board.decisions.note("stopped", config.advertise_rpc.text(),
                              unanswered_calls() == 0 ? "all calls finished"
                                                      : "the grace is over",
@@ -417,6 +411,7 @@
     mesh_adapter adapter;
     entry_settings entry_config;
     worker main_worker;
+    stop_signal stop_requests{main_worker.io()};
     link_scheduler outgoing{main_worker.io(), config.link_mbps};
     blackboard board;
     target_board board_targets;
--- /dev/null
+++ b/tests/integration/planned_stops.cpp
@@ -0,0 +1,123 @@
+/** @file Planned stops of nodes, as their callers see them.
+ *
+ * Guards against calls that end without an answer since their node stops. */
+#include "mesh_system.hpp"
+
+#include "tillerhall/core/stop_signal.hpp"
+
+#include <csignal>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace tillerhall;
+using namespace tillerhall::harness;
+
+namespace
+{
+
+// Of all nodes; see `stop_schedule` for its phases.
+constexpr milliseconds stop_grace(4'000);
+constexpr milliseconds calls_end(3'400);
+
+/** Two hosts; calls by the first run at the second. */
+struct two_hosts : mesh_system
+{
+    explicit two_hosts(worker& on)
+        : mesh_system(on, {"perceel", "beurs"})
+    {
+        configure(1, {{"fields", "/fields/", "beurs", "safe", 9'000},
+                      {"sales", "/sales/", "beurs", "unsafe", 9'000}});
+        start();
+        REQUIRE(wait_until(
+            [&] { return call(entry(), "w", "/fields/w").status == 200; }));
+    }
+
+    mesh_host& entry() { return hosts()[0]; }
+    mesh_host& owner() { return hosts()[1]; }
+    reporting_target& target() { return *owner().target; }
+
+    /** @return the time that the target had for @p id, in milliseconds. */
+    std::int64_t time_left_of(const std::string& id)
+    {
+        for (const auto& each : target().runs())
+            if (each.id == id)
+                return std::stoll(each.time_left);
+        return -1;
+    }
+};
+
+std::string request_of(const std::string& id)
+{
+    return "GET /fields/x HTTP/1.1\r\nHost: shop.example\r\n"
+           "X-Request-Attempt-Id: " +
+           id + "\r\nX-Deadline-Ms: 6000\r\n\r\n";
+}
+
+/** A connection of a client that reads slowly. */
+std::unique_ptr<tcp_stream> slow_client(worker& on, const address& to)
+{
+    auto stream = std::make_unique<tcp_stream>(on.io());
+    const auto ip = boost::asio::ip::make_address(to.ip);
+    const boost::asio::ip::tcp::endpoint end(ip, to.port);
+    stream->socket().open(end.protocol());
+    // Before the connection is made, so that the window stays small.
+    stream->socket().set_option(
+        boost::asio::socket_base::receive_buffer_size(4 * 1024));
+    boost::system::error_code failed;
+    stream->expires_after(std::chrono::seconds(20));
+    stream->async_connect(end, await{failed});
+    REQUIRE_FALSE(failed);
+    return stream;
+}
+
+void send(tcp_stream& stream, const std::string& bytes)
+{
+    boost::system::error_code failed;
+    boost::asio::async_write(stream, boost::asio::buffer(bytes), await{failed});
+}
+
+/** @return all bytes until the connection closes. */
+std::string read_all(tcp_stream& stream)
+{
+    std::string received;
+    boost::system::error_code failed;
+    boost::asio::async_read(stream, boost::asio::dynamic_buffer(received),
+                            await{failed});
+    return received;
+}
+
+} // namespace
+
+TEST_CASE("the grace period counts from the signal, not from its handling")
+{
+    on_worker(
+        [](worker& on)
+        {
+            stop_signal stop(on.io());
+            const auto sent = steady_clock::now();
+            ::kill(::getpid(), SIGTERM);
+            // The worker is busy.
+            std::this_thread::sleep_for(milliseconds(300));
+            CHECK(stop.wait() < sent + milliseconds(100));
+        });
+}
+
+TEST_CASE("an answer that is being sent at the end of a stop is sent whole")
+{
+    on_worker(
+        [](worker& on)
+        {
+            constexpr std::size_t body_bytes = 4 * 1024 * 1024;
+            two_hosts system(on);
+            system.target().faults().body_bytes = body_bytes;
+            auto client = slow_client(on, system.entry().at["caller"]);
+            system.entry().node.send(SIGTERM);
+            const auto sent = steady_clock::now();
+            send(*client, request_of("large"));
+            sleep_for(on.io(), sent + calls_end + milliseconds(250) -
+                                   steady_clock::now());
+            CHECK(read_all(*client).size() > body_bytes);
+        });
+}
+
