A stopping node waits for clients to close after their last answer

What callers see: an answer that breaks off with a reset at the end of a planned stop.

Cause: the process exited as soon as no call was unanswered, though sessions read and discard input for a second after their last answer. Bytes that a client sends to a connection whose process is gone reset it, with what the kernel has not delivered of the answer. Found by reading; no play has shown it.

Fix: sessions that wait so are counted, and the stop waits for them within its limits.

Test: "bytes that a client sends after its last answer do not reset it", red before.

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -46,6 +46,9 @@
     /** Calls of all sessions, from the read of the request until the answer
      * is sent. */
     std::int64_t unanswered = 0;
+    /** Sessions whose last answer is sent and whose client has not closed the
+     * connection; closing it now could reset it and lose the answer. */
+    std::int64_t lingering = 0;
 };
 
 /**
@@ -143,6 +146,7 @@
     time_point m_arrived{}; ///< earliest arrival of the bytes in the buffer
     std::deque<pending_ptr> m_pending;
     std::unique_ptr<boost::asio::steady_timer> m_linger_end;
+    std::optional<scoped_count> m_lingering;
     bool m_reading = false;    ///< reading, or handling what was read
     bool m_input_done = false; ///< no further request will be read
     bool m_writing = false;
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -322,11 +322,13 @@
         return;
     m_linger_end =
         std::make_unique<boost::asio::steady_timer>(m_worker.io(), linger_time);
+    m_lingering.emplace(m_host.lingering);
     m_linger_end->async_wait(
         [self = shared_from_this()](const boost::system::error_code&)
         {
             boost::system::error_code ignored;
             self->m_stream->socket().close(ignored);
+            self->m_lingering.reset();
         });
     if (!m_reading)
         wait_for_bytes();
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -364,9 +364,16 @@
         return client_host.unanswered + peer_host.unanswered;
     }
 
-    void wait_for_answers(time_point until)
+    /** Returns the number of connections that the process must not close yet:
+     * with unanswered calls, or with an answer that could still be lost. */
+    std::int64_t open_work() const
     {
-        while (unanswered_calls() > 0 && steady_clock::now() < until)
+        return unanswered_calls() + client_host.lingering + peer_host.lingering;
+    }
+
+    void wait_for_work(time_point until)
+    {
+        while (open_work() > 0 && steady_clock::now() < until)
             sleep_for(main_worker.io(), poll_interval);
     }
 
@@ -397,9 +404,9 @@
             sleep_for(main_worker.io(), poll_interval);
         board.phase = node_phase::finishing;
         sleep_for(main_worker.io(), min_finishing);
-        wait_for_answers(schedule.calls_end);
+        wait_for_work(schedule.calls_end);
         end_remaining_calls();
-        wait_for_answers(schedule.exit_by);
+        wait_for_work(schedule.exit_by);
         board.decisions.note("stopped", config.advertise_rpc.text(),
                              unanswered_calls() == 0 ? "all calls finished"
                                                      : "the grace is over",
--- a/tests/integration/planned_stops.cpp
+++ b/tests/integration/planned_stops.cpp
@@ -121,3 +121,27 @@
         });
 }
 
+TEST_CASE("bytes that a client sends after its last answer do not reset it")
+{
+    on_worker(
+        [](worker& on)
+        {
+            constexpr std::size_t body_bytes = 24 * 1024;
+            two_hosts system(on);
+            system.target().faults().body_bytes = body_bytes;
+            system.target().faults().work = milliseconds(600);
+            auto client = slow_client(on, system.entry().at["caller"]);
+            system.entry().node.send(SIGTERM);
+            // The answer is ready after the node has refused its last call.
+            sleep_for(on.io(), milliseconds(1'900));
+            send(*client, request_of("last"));
+            sleep_for(on.io(), milliseconds(750));
+            for (int i = 0; i < 8; ++i)
+            {
+                send(*client, request_of("late-" + std::to_string(i)));
+                sleep_for(on.io(), milliseconds(50));
+            }
+            CHECK(read_all(*client).size() > body_bytes);
+            CHECK(system.runs_of("late-0") == 0);
+        });
+}
