Calls that arrive during a planned stop get the time that their node has left

What callers see: a call that a stopping node took runs until the node ends it, with 502 after seconds, though it was known that it could not be finished.

Cause: calls taken during a stop were forwarded with their client's deadline. Owners queued and targets ran them beyond the end of the node; at the end all calls without an answer were cancelled.

Fix: from the signal on, entry and owner limit the deadline of new calls to the time at which the node ends calls, so that queues refuse at once what cannot be served in time, targets stop by themselves, and links send such answers earlier. A timeout due to this limit is an unknown outcome, since the client may still wait; entries may then try another owner for calls that may be repeated.

Test: "a call during a planned stop gets only the time that its node has", red before for a stopping entry and for a stopping owner.

--- a/include/tillerhall/node/blackboard.hpp
+++ b/include/tillerhall/node/blackboard.hpp
@@ -58,6 +58,8 @@
     /** Empty where no service is balanced between failure domains. */
     published<capacity_view> capacity{capacity_view_ptr(new capacity_view)};
     std::atomic<node_phase> phase{node_phase::joining};
+    /** In a planned stop: when calls that have no answer end. */
+    std::atomic<time_point> calls_end{time_point::max()};
     stall_detector control;
     std::atomic<std::int64_t> calls_in_flight{0};
     /** Wall clock when the current version took effect, in microseconds. */
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -131,6 +131,20 @@
     std::optional<target_constraints> constraints; ///< of the target
 };
 
+/** Reason of the outcome of a call that its node ended to stop in time. */
+inline constexpr const char* ended_with_node =
+    "this node ended before the answer came";
+
+/**
+ * Sets the deadline of @p call to @p calls_end if that is earlier.
+ * @return whether it was
+ */
+bool limit_deadline(owner_call& call, time_point calls_end);
+
+/** Changes a timeout, due to a limited deadline, to an unknown outcome: the
+ * client may still wait. */
+void ended_early(owner_answer& answer);
+
 /** Reason for refusing a quarantined call. */
 inline constexpr const char* crashes_its_targets = "ends_its_targets";
 
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -391,6 +391,8 @@
 
     void planned_stop(const stop_schedule& schedule)
     {
+        // Calls that arrive from now on must end before the node does.
+        board.calls_end = schedule.calls_end;
         board.phase = node_phase::leaving;
         board.decisions.note(
             "leaving", config.advertise_rpc.text(), "planned stop",
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -161,6 +161,7 @@
     if (routes->accounts() != nullptr)
         set_account(state.call, message, caller);
     set_terms(state.call, route, request.received, left);
+    const bool is_limited = limit_deadline(state.call, m_board.calls_end);
     classify(state.call, left);
     state.has_parent = m_local.runs().call_made(id, state.call.service);
     request.answer_due =
@@ -172,7 +173,9 @@
     auto answer = forward(request, state, scope);
     --m_board.calls_in_flight;
     if (m_calls_cancelled && answer.end == call_end::cancelled)
-        answer.reason = "this node ended before the answer came";
+        answer.reason = ended_with_node;
+    if (is_limited)
+        ended_early(answer);
     record_outcome(state, message, answer);
     if (caller.account != nullptr && state.targets_reached == 0)
         m_quotas.give_back(*caller.account);
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -123,6 +123,21 @@
     return end_names[static_cast<std::size_t>(end)];
 }
 
+bool limit_deadline(owner_call& call, time_point calls_end)
+{
+    const bool is_limited = calls_end < call.deadline;
+    call.deadline = std::min(call.deadline, calls_end);
+    return is_limited;
+}
+
+void ended_early(owner_answer& answer)
+{
+    if (answer.end != call_end::timed_out)
+        return;
+    answer.end = call_end::unknown;
+    answer.reason = ended_with_node;
+}
+
 whole_request load_query(const std::string& id_field)
 {
     whole_request query(http::verb::get, "/", 11);
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -970,9 +970,13 @@
         return to_hop_response(std::move(refused), {}, m_names.request_id);
     }
     m_waits.record(exact_ms(steady_clock::now() - request.received));
-    request.answer_due = request.received + call->objective - call->elapsed;
-    return to_hop_response(run(request.message, *call, scope), *call,
-                           m_names.request_id);
+    const bool is_limited = limit_deadline(*call, m_board.calls_end);
+    request.answer_due = std::min(
+        request.received + call->objective - call->elapsed, call->deadline);
+    auto answer = run(request.message, *call, scope);
+    if (is_limited)
+        ended_early(answer);
+    return to_hop_response(std::move(answer), *call, m_names.request_id);
 }
 
 } // namespace tillerhall
--- a/tests/integration/planned_stops.cpp
+++ b/tests/integration/planned_stops.cpp
@@ -103,6 +103,30 @@
         });
 }
 
+TEST_CASE("a call during a planned stop gets only the time that its node has")
+{
+    // The entry stops, or the owner does.
+    const bool entry_stops = GENERATE(true, false);
+    CAPTURE(entry_stops);
+    on_worker(
+        [=](worker& on)
+        {
+            two_hosts system(on);
+            auto& stopping = entry_stops ? system.entry() : system.owner();
+            stopping.node.send(SIGTERM);
+            sleep_for(on.io(), milliseconds(1'000));
+            const auto left = calls_end - milliseconds(1'000);
+            system.target().faults().work = std::chrono::seconds(7);
+            const auto begin = steady_clock::now();
+            const auto answer =
+                system.call(system.entry(), "long", "/sales/x", "", 6'000);
+            CHECK(answer.status == 502); // whether it ran is not known
+            CHECK(steady_clock::now() - begin < left + milliseconds(100));
+            CHECK(system.time_left_of("long") > 0);
+            CHECK(system.time_left_of("long") <= left.count());
+        });
+}
+
 TEST_CASE("an answer that is being sent at the end of a stop is sent whole")
 {
     on_worker(
