A stopping node tells other nodes that it closes their connections

What callers see: 502 for calls that no target got, around planned stops; a call that may not be repeated is lost to its client.

Cause: entries send calls to an owner until it exits, on kept connections or new ones. A request that crossed the exit was reset, so its outcome was unknown.

Fix: before it exits, a node accepts what is queued, closes its listeners, and sends a goaway response on each idle connection of another node (as GOAWAY in HTTP/2, RFC 9113, 6.8). It reads on for 0.1 s and runs nothing of it. An exchange that reads this response knows that its request was not handled, and the entry tries another owner or refuses the call as not run. A client's idle connection is closed in the same way, without a response. A target cannot send the field: owners erase it.

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/intrusive/list.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -28,9 +29,26 @@
     std::string detail;
 };
 
+/** An open connection of a `session_host`. */
+class open_session
+    : public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+    /** Closes the connection if no call of it is pending; requests that it
+     * still receives do not run. */
+    virtual void close_idle() = 0;
+
+protected:
+    ~open_session() = default;
+};
+
 /** Callbacks and shared state of the sessions of one kind of client. */
 struct session_host
 {
+    /** Closes all idle connections, and later ones at once. */
+    void close_idle();
+
     /** Answers one call; runs on a fiber of its own. */
     std::function<whole_response(received_request&, cancel_scope&)> answer;
     /** Makes the answer to an invalid request. */
@@ -43,12 +61,19 @@
     byte_backlog* incoming = nullptr;
     /** Schedules large answers on this host's link; may be null. */
     link_scheduler* outgoing = nullptr;
+    /** Makes the response that is sent to no request before an idle connection
+     * is closed; may be null. */
+    std::function<whole_response()> goaway = nullptr;
     /** Calls of all sessions, from the read of the request until the answer
      * is sent. */
     std::int64_t unanswered = 0;
     /** Sessions whose last answer is sent and whose client has not closed the
      * connection; closing it now could reset it and lose the answer. */
     std::int64_t lingering = 0;
+    bool closes_idle = false;
+    boost::intrusive::list<open_session,
+                           boost::intrusive::constant_time_size<false>>
+        sessions;
 };
 
 /**
@@ -60,7 +85,8 @@
  * most connections are idle and each fiber stack takes memory. The session
  * lives as long as any of its reads or calls.
  */
-class call_session : public std::enable_shared_from_this<call_session>
+class call_session final : public open_session,
+                           public std::enable_shared_from_this<call_session>
 {
 public:
     /** Concurrent calls of one connection; further requests stay unread. */
@@ -70,6 +96,8 @@
     static void
     serve(worker& on, std::shared_ptr<tcp_stream> stream, session_host& host);
 
+    void close_idle() override;
+
 private:
     using request_parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -137,6 +165,7 @@
     void write_next();
     bool write_one(pending_call& call);
     void close_and_cancel();
+    void send_goaway();
     void linger();
 
     worker& m_worker;
--- a/include/tillerhall/http/exchange.hpp
+++ b/include/tillerhall/http/exchange.hpp
@@ -17,7 +17,7 @@
 enum class exchange_end
 {
     answered,  ///< a complete response with the request's id arrived
-    not_sent,  ///< no byte of the request can have arrived
+    not_sent,  ///< the request cannot have been handled
     unknown,   ///< the request may have arrived; no complete response did
     timed_out, ///< as `unknown`, after the deadline
     cancelled  ///< the client disconnected
@@ -32,6 +32,9 @@
     std::string id_field; ///< response field that must hold `id`
     std::string id;       ///< value of `id_field`; other responses are skipped
     exchange_observer* observer = nullptr; ///< may be null
+    /** Marks a response after which the peer runs no request of the
+     * connection that it has not answered; empty if it sends none. */
+    std::string goaway_field{};
 };
 
 struct exchange_result
--- a/include/tillerhall/http/listener.hpp
+++ b/include/tillerhall/http/listener.hpp
@@ -42,6 +42,9 @@
     /** Stops accepting; open connections stay open. */
     void close();
 
+    /** Accepts the connections that are queued, then stops accepting. */
+    void accept_last();
+
     /** @return the bound address, with the port that the system chose if 0 was
      * given. */
     const address& local() const noexcept { return m_local; }
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -180,6 +180,10 @@
                                const owner_call& call,
                                const std::string& id_field);
 
+/** @return the response that a node sends before it closes an idle connection
+ * of another: requests that cross it do not run. */
+whole_response goaway_response();
+
 /** Parses another node's response; `unknown` if it is not an owner's. */
 owner_answer from_hop_response(whole_response response);
 
--- a/include/tillerhall/proxy/wire_names.hpp
+++ b/include/tillerhall/proxy/wire_names.hpp
@@ -88,6 +88,9 @@
 inline constexpr const char* target_crashed = "Tillerhall-Target-Ended";
 /** If the target refused the call while it had free slots. */
 inline constexpr const char* with_room = "Tillerhall-With-Room";
+/** Marks a response to no request: the node closes the connection and runs no
+ * request that it has not answered. */
+inline constexpr const char* goaway = "Tillerhall-Goaway";
 inline constexpr const char* reason = "Tillerhall-Reason";
 inline constexpr const char* retry_after_ms = "Tillerhall-Retry-Ms";
 } // namespace hop_field
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -67,7 +67,40 @@
 {
     const std::shared_ptr<call_session> made(
         new call_session(on, std::move(stream), host));
-    made->wait_for_bytes();
+    host.sessions.push_back(*made);
+    if (host.closes_idle)
+        made->close_idle();
+    else
+        made->wait_for_bytes();
+}
+
+void session_host::close_idle()
+{
+    closes_idle = true;
+    for (auto& each : sessions)
+        each.close_idle();
+}
+
+void call_session::close_idle()
+{
+    if (m_closing || !m_pending.empty())
+        return;
+    m_closing = true;
+    m_worker.spawn([self = shared_from_this()] { self->send_goaway(); });
+}
+
+void call_session::send_goaway()
+{
+    boost::system::error_code ignored;
+    if (m_host.goaway)
+    {
+        const auto response = m_host.goaway();
+        m_stream->expires_after(write_timeout);
+        http::async_write(*m_stream, response, await{ignored});
+    }
+    m_stream->socket().shutdown(boost::asio::socket_base::shutdown_send,
+                                ignored);
+    linger();
 }
 
 void call_session::wait_for_bytes()
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -84,6 +84,8 @@
             parser.skip(m_request.method() == http::verb::head);
             boost::system::error_code failed;
             http::async_read_header(m_stream, m_buffer, parser, await{failed});
+            if (!failed && is_goaway(parser))
+                return refuse();
             const bool is_own =
                 !failed && parser.get()[m_plan.id_field] == m_plan.id;
             if (is_own && is_final(parser) && m_plan.observer != nullptr)
@@ -107,6 +109,18 @@
         return parser.get().result_int() >= 200;
     }
 
+    bool is_goaway(const response_parser& parser) const
+    {
+        return !m_plan.goaway_field.empty() &&
+               parser.get().count(m_plan.goaway_field) != 0;
+    }
+
+    void refuse()
+    {
+        m_is_refused = true;
+        fail({}, "the peer closes the connection");
+    }
+
     void accept(response_parser& parser)
     {
         m_keep_alive = parser.keep_alive() && !parser.need_eof();
@@ -140,7 +154,7 @@
         }
         if (m_scope.is_cancelled())
             return result_of(exchange_end::cancelled, "the client left");
-        if (m_bytes_out == 0 && m_write_failed)
+        if (m_is_refused || (m_bytes_out == 0 && m_write_failed))
             return result_of(exchange_end::not_sent, m_result.detail);
         return result_of(m_timed_out ? exchange_end::timed_out
                                      : exchange_end::unknown,
@@ -165,6 +179,7 @@
     bool m_write_failed = false;
     bool m_timed_out = false;
     bool m_keep_alive = false;
+    bool m_is_refused = false;
 };
 
 } // namespace
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -74,6 +74,12 @@
     m_acceptor.close(ignored);
 }
 
+void listener::accept_last()
+{
+    accept_queued();
+    close();
+}
+
 void listener::accept_loop()
 {
     while (m_acceptor.is_open())
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -28,6 +28,8 @@
 
 // Time after the node stops serving, so that the last refusals are delivered.
 constexpr milliseconds min_finishing(200);
+// Requests that cross the close of their connection arrive within this time.
+constexpr milliseconds crossing_time(100);
 constexpr milliseconds poll_interval(50);
 // Calls between nodes are limited by their own deadlines.
 constexpr std::size_t peer_head_bytes = 64 * 1024;
@@ -204,7 +206,8 @@
                      },
                      stopping,
                      &owner->incoming(),
-                     &outgoing};
+                     &outgoing,
+                     goaway_response};
     }
 
     void start()
@@ -389,6 +392,17 @@
         entry->end_calls();
     }
 
+    /** Closes what is idle, so that the exit resets no connection on which
+     * clients and other nodes may send. */
+    void close_connections()
+    {
+        callers->accept_last();
+        peers->accept_last();
+        client_host.close_idle();
+        peer_host.close_idle();
+        sleep_for(main_worker.io(), crossing_time);
+    }
+
     void planned_stop(const stop_schedule& schedule)
     {
         // Calls that arrive from now on must end before the node does.
@@ -408,7 +422,8 @@
         sleep_for(main_worker.io(), min_finishing);
         wait_for_work(schedule.calls_end);
         end_remaining_calls();
-        wait_for_work(schedule.exit_by);
+        wait_for_work(schedule.exit_by - crossing_time);
+        close_connections();
         board.decisions.note("stopped", config.advertise_rpc.text(),
                              unanswered_calls() == 0 ? "all calls finished"
                                                      : "the grace is over",
--- a/src/proxy/call_entry_peers.cpp
+++ b/src/proxy/call_entry_peers.cpp
@@ -87,10 +87,10 @@
     sent.keep_alive(true);
     sent.content_length(sent.body().size());
     write_hop_fields(sent, hop_call, now);
-    auto result = exchange(
-        **stream, sent,
-        {state.call.deadline, m_names.request_id, state.call.request_id},
-        scope);
+    auto result = exchange(**stream, sent,
+                           {state.call.deadline, m_names.request_id,
+                            state.call.request_id, nullptr, hop_field::goaway},
+                           scope);
     if (result.reusable)
         m_pool.give_back(owner.peer, std::move(*stream), idle_kept);
     if (result.end == exchange_end::answered)
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -270,6 +270,7 @@
         answer.response
             ? std::move(*answer.response)
             : whole_response(static_cast<http::status>(refusal_status), 11);
+    response.erase(hop_field::goaway); // a target may have sent one
     response.set(id_field, call.request_id);
     set_field(response, hop_field::end, name_of(answer.end));
     set_field(response, hop_field::reached, answer.reached ? "1" : "0");
@@ -306,6 +307,15 @@
     return response;
 }
 
+whole_response goaway_response()
+{
+    whole_response response(static_cast<http::status>(refusal_status), 11);
+    response.set(hop_field::goaway, "1");
+    response.keep_alive(false);
+    response.prepare_payload();
+    return response;
+}
+
 owner_answer from_hop_response(whole_response response)
 {
     owner_answer answer;
--- a/tests/integration/planned_stops.cpp
+++ b/tests/integration/planned_stops.cpp
@@ -1,7 +1,7 @@
 /** @file Planned stops of nodes, as their callers see them.
  *
  * Guards against calls that end without an answer since their node stops. */
-#include "mesh_system.hpp"
+#include "open_loop.hpp"
 
 #include "tillerhall/core/stop_signal.hpp"
 
@@ -169,3 +169,24 @@
             CHECK(system.runs_of("late-0") == 0);
         });
 }
+
+TEST_CASE("calls that cross the exit of their owner are refused as not run")
+{
+    on_worker(
+        [](worker& on)
+        {
+            two_hosts system(on);
+            system.target().faults().work = milliseconds(1);
+            system.owner().node.send(SIGTERM);
+            open_loop load(system, {.prefix = "c-",
+                                    .path = "/sales/x",
+                                    .per_s = 400,
+                                    .span = stop_grace,
+                                    .entries = {0}});
+            const auto& calls = load.finish();
+            CHECK_FALSE(system.owner().node.is_running());
+            const auto served = count_status(calls, 200);
+            CHECK(served > 0);
+            CHECK(served + count_status(calls, 503) == calls.size());
+        });
+}
