Soak of planned stops on the kept connections of clients

Plays stops, reloads, configurations and changes of targets in series that overlap, while clients pipeline requests on kept connections until the process is gone, some slowly, some with requests that stall; half of the targets are behind a link that is slower than their answers.

--- /dev/null
+++ b/tests/integration/planned_stops_soak.cpp
@@ -0,0 +1,322 @@
+/**
+ * @file Planned stops, reloads and configurations in series that overlap.
+ *
+ * Guards against requests that end without an answer, or with an error, on the
+ * kept connections of clients that use them until the process is gone.
+ */
+#include "node_faults.hpp"
+
+#include <array>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <iostream>
+
+using namespace tillerhall;
+using namespace tillerhall::harness;
+
+namespace
+{
+
+namespace http = boost::beast::http;
+
+constexpr std::chrono::seconds span(12);
+// Together shorter than the time in which a stopping node finishes calls.
+constexpr milliseconds max_work(400);
+constexpr int time_left_ms = 2'500;
+constexpr std::size_t max_body = 200'000;
+// Answers of some targets are under way for as long as others run.
+constexpr double link_bytes_per_s = 3'000'000;
+// Longer than the head of a request may take to arrive.
+constexpr milliseconds stall(3'300);
+
+/** One request of a client. */
+struct client_request
+{
+    std::string id;
+    bool is_unsafe = false;
+    bool is_sent = false; ///< the whole of it
+    unsigned status = 0;  ///< 0: the connection closed before the answer
+};
+
+/** Clients that pipeline requests on kept connections. */
+class pipelining_clients
+{
+public:
+    pipelining_clients(mesh_system& system, random_source& random)
+        : m_system(system)
+        , m_random(random)
+    {
+    }
+
+    void start(int count, time_point until)
+    {
+        m_open = count;
+        for (int i = 0; i < count; ++i)
+            m_system.on().spawn([this, until] { run(until); });
+    }
+
+    int open() const noexcept { return m_open; }
+    const std::deque<client_request>& requests() const { return m_requests; }
+
+private:
+    void run(time_point until)
+    {
+        while (steady_clock::now() < until)
+        {
+            auto& host =
+                m_system.hosts()[m_random.below(m_system.hosts().size())];
+            auto stream = connect_stream(m_system.on().io(), host.at["caller"],
+                                         std::chrono::seconds(1));
+            if (stream)
+                use(**stream, until);
+            else
+                sleep_for(m_system.on().io(), milliseconds(50));
+        }
+        --m_open;
+    }
+
+    /** Sends requests until the connection closes. */
+    void use(tcp_stream& stream, time_point until)
+    {
+        boost::beast::flat_buffer buffer;
+        while (steady_clock::now() < until)
+        {
+            std::vector<client_request*> sent;
+            const auto count = 1 + m_random.below(3);
+            for (std::uint64_t i = 0; i < count; ++i)
+                sent.push_back(&send(stream));
+            for (auto* each : sent)
+                if (!read_answer(stream, buffer, *each))
+                    return;
+            sleep_for(m_system.on().io(), milliseconds(m_random.below(150)));
+        }
+    }
+
+    client_request& send(tcp_stream& stream)
+    {
+        auto& made = m_requests.emplace_back();
+        made.id = "r-" + std::to_string(m_requests.size());
+        made.is_unsafe = m_random.below(2) == 0;
+        const auto text =
+            std::string("GET ") + (made.is_unsafe ? "/sales/x" : "/fields/x") +
+            " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Attempt-Id: " +
+            made.id + "\r\nX-Deadline-Ms: " + std::to_string(time_left_ms) +
+            "\r\n\r\n";
+        // Sometimes the request arrives in two parts, or stalls.
+        const auto first =
+            m_random.below(8) == 0 ? m_random.below(text.size()) : 0;
+        made.is_sent = write(stream, text.substr(0, first));
+        if (first > 0)
+            sleep_for(m_system.on().io(),
+                      m_random.below(8) == 0
+                          ? stall
+                          : milliseconds(m_random.below(200)));
+        made.is_sent = made.is_sent && write(stream, text.substr(first));
+        return made;
+    }
+
+    static bool write(tcp_stream& stream, const std::string& bytes)
+    {
+        boost::system::error_code failed;
+        stream.expires_after(std::chrono::seconds(5));
+        boost::asio::async_write(stream, boost::asio::buffer(bytes),
+                                 await{failed});
+        return !failed;
+    }
+
+    /** @return whether the connection may be used on. */
+    bool read_answer(tcp_stream& stream,
+                     boost::beast::flat_buffer& buffer,
+                     client_request& into)
+    {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(2 * max_body);
+        boost::system::error_code failed;
+        // Some clients are slow to read.
+        if (m_random.below(4) == 0)
+            sleep_for(m_system.on().io(), milliseconds(m_random.below(300)));
+        stream.expires_after(std::chrono::seconds(8));
+        http::async_read(stream, buffer, parser, await{failed});
+        if (failed)
+            return false;
+        into.status = parser.get().result_int();
+        return parser.get().keep_alive();
+    }
+
+    mesh_system& m_system;
+    random_source& m_random;
+    std::deque<client_request> m_requests; ///< references stay valid
+    int m_open = 0;
+};
+
+/** Signals and changes drawn from a seed; those of different hosts overlap. */
+class planned_work
+{
+public:
+    planned_work(mesh_system& system, random_source& random)
+        : m_system(system)
+        , m_random(random)
+        , m_is_stopping(system.hosts().size())
+    {
+    }
+
+    void run(time_point until)
+    {
+        while (steady_clock::now() < until)
+        {
+            const auto index = m_random.below(m_system.hosts().size());
+            constexpr std::array actions{
+                &planned_work::stop, &planned_work::stop, &planned_work::reload,
+                &planned_work::reconfigure, &planned_work::change_target};
+            (this->*actions[m_random.below(actions.size())])(index);
+            sleep_for(m_system.on().io(), milliseconds(m_random.below(700)));
+        }
+        REQUIRE(m_system.wait_until([&] { return m_stopping == 0; }));
+    }
+
+    int stops() const noexcept { return m_stops; }
+
+private:
+    void stop(std::size_t index)
+    {
+        // Its services must keep a target: another half of the hosts stays.
+        if (m_is_stopping[index] ||
+            2 * (m_stopping + 1) > std::ssize(m_is_stopping))
+            return;
+        m_is_stopping[index] = true;
+        ++m_stopping;
+        ++m_stops;
+        m_system.on().spawn(
+            [this, index]
+            {
+                auto& host = m_system.hosts()[index];
+                host.node.send(SIGTERM);
+                m_system.wait_until([&] { return !host.node.is_running(); });
+                CHECK(host.node.wait() == 0);
+                m_system.start_node(host);
+                m_system.wait_until([&] { return m_system.is_ready(host); });
+                host.target->report(host.at["operators"], "ready");
+                m_is_stopping[index] = false;
+                --m_stopping;
+            });
+    }
+
+    void reload(std::size_t index)
+    {
+        auto& node = m_system.hosts()[index].node;
+        if (node.is_running())
+            node.send(SIGHUP);
+    }
+
+    void reconfigure(std::size_t /*index*/)
+    {
+        m_system.configure(
+            ++m_version,
+            {{"fields", "/fields/", "perceel"},
+             {"sales", "/sales/", "perceel", "unsafe"},
+             {"v" + std::to_string(m_version), "/new/", "perceel"}},
+            "/health");
+    }
+
+    void change_target(std::size_t index)
+    {
+        auto& faults = m_system.hosts()[index].target->faults();
+        faults.work = milliseconds(10 + m_random.below(max_work.count()));
+        faults.body_bytes = m_random.below(max_body);
+    }
+
+    mesh_system& m_system;
+    random_source& m_random;
+    std::vector<bool> m_is_stopping;
+    int m_stopping = 0;
+    int m_stops = 0;
+    int m_version = 1;
+};
+
+/** Requests by how they ended. */
+struct endings
+{
+    int answered = 0;
+    int refused = 0;
+    int crossed = 0; ///< not answered, and reached no target
+    std::vector<std::string> lost;
+};
+
+endings endings_of(const mesh_system& system, const pipelining_clients& clients)
+{
+    endings made;
+    for (const auto& each : clients.requests())
+    {
+        const int runs = system.runs_of(each.id);
+        const bool is_once = !each.is_unsafe || runs <= 1;
+        if (each.status == 200 && runs >= 1 && is_once)
+            ++made.answered;
+        else if (each.status == 503 && runs == 0)
+            ++made.refused;
+        else if (each.status == 0 && runs == 0)
+            ++made.crossed;
+        else
+            made.lost.push_back(each.id + " status " +
+                                std::to_string(each.status) + " runs " +
+                                std::to_string(runs));
+    }
+    return made;
+}
+
+/** Puts a link before every second target, and makes all report loads. */
+void set_up_targets(mesh_system& system)
+{
+    for (std::size_t i = 0; i < system.hosts().size(); ++i)
+    {
+        auto& target = *system.hosts()[i].target;
+        target.faults().reports_load = true;
+        if (i % 2 == 0)
+            continue;
+        auto& link = keep_for_fibers(
+            std::make_shared<paced_link>(system.on(), target.where()));
+        link.set_bytes_per_s(link_bytes_per_s);
+        target.set_reported_address(link.where());
+    }
+}
+
+/** @return the hosts of a run; TILLERHALL_HOSTS sets another number. */
+std::size_t host_count()
+{
+    const char* given = std::getenv("TILLERHALL_HOSTS");
+    return given == nullptr ? 4 : std::stoul(given);
+}
+
+} // namespace
+
+TEST_CASE("no request is lost over planned stops, reloads and configurations")
+{
+    for_each_seed(
+        2,
+        [](worker& on, std::uint64_t seed)
+        {
+            mesh_system system(
+                on, std::vector<std::string>(host_count(), "perceel"));
+            set_up_targets(system);
+            system.configure(1,
+                             {{"fields", "/fields/", "perceel"},
+                              {"sales", "/sales/", "perceel", "unsafe"}},
+                             "/health");
+            system.start();
+            random_source random(seed);
+            pipelining_clients clients(system, random);
+            const auto until = steady_clock::now() + span;
+            clients.start(3 * static_cast<int>(host_count()), until);
+            planned_work work(system, random);
+            work.run(until);
+            REQUIRE(system.wait_until([&] { return clients.open() == 0; }));
+            const auto seen = endings_of(system, clients);
+            std::cout << "seed " << seed << ": " << work.stops() << " stops, "
+                      << seen.answered << " answered, " << seen.refused
+                      << " refused, " << seen.crossed << " crossed a close, "
+                      << seen.lost.size() << " lost" << std::endl;
+            INFO("seed " << seed);
+            CHECK(seen.lost == std::vector<std::string>());
+            CHECK(seen.answered > 0);
+        });
+}
