A request that stalls does not reset the answer before it

What callers see: an answer breaks off with a reset if the next request of the connection stalls for longer than its limit and then goes on.

Cause: the timeout of reading closed the stream at once. What its client sent later reset the connection, with the part of the earlier answer that the client had not received.

Fix: a stalled request ends its session as an idle one is closed before an exit: the sending side is shut down, and what follows is read and discarded for a second. A head that is in the buffer is not watched.

Test: "a request that stalls does not reset the answer before it", red before (4,096 of 24,576 bytes, reset).

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -145,6 +145,9 @@
     void wait_for_bytes();
     /** @return the timeout of a read that may take @p limit by itself. */
     duration read_timeout(duration limit) const;
+    /** Closes the session if the request that is being read takes longer than
+     * @p limit, unless calls are running. @return keep it while reading */
+    std::unique_ptr<boost::asio::steady_timer> watch_request(duration limit);
     void on_read(const boost::system::error_code& failed, std::size_t size);
     void read_calls();
     bool read_call();
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -16,8 +16,9 @@
 
 // A client that does not read an answer for so long is taken for lost.
 constexpr std::chrono::seconds write_timeout(20);
-// Added to the timeouts of reading while calls of the connection are running: a
-// timeout closes the connection, which would end them.
+// Added to the timeouts of reading while calls of the connection are running,
+// and to those of a request: a timeout of the stream closes it, which would end
+// the calls and could reset an answer.
 constexpr std::chrono::seconds max_call_time(60);
 // Enough for a body of the maximum size from a slow client.
 constexpr std::chrono::seconds body_timeout(20);
@@ -50,6 +51,15 @@
            failed != http::error::partial_message;
 }
 
+/** @return whether @p buffer has a complete head, so that none is awaited. */
+bool holds_head(const boost::beast::flat_buffer& buffer)
+{
+    const auto bytes = buffer.data();
+    return std::string_view(static_cast<const char*>(bytes.data()),
+                            bytes.size())
+               .find("\r\n\r\n") != std::string_view::npos;
+}
+
 } // namespace
 
 call_session::call_session(worker& on,
@@ -119,6 +129,23 @@
     return m_pending.empty() ? limit : limit + max_call_time;
 }
 
+std::unique_ptr<boost::asio::steady_timer>
+call_session::watch_request(duration limit)
+{
+    m_stream->expires_after(limit + max_call_time);
+    if (!m_pending.empty())
+        return nullptr;
+    auto timer =
+        std::make_unique<boost::asio::steady_timer>(m_worker.io(), limit);
+    timer->async_wait(
+        [self = shared_from_this()](const boost::system::error_code& failed)
+        {
+            if (!failed)
+                self->close_idle(); // the request is discarded
+        });
+    return timer;
+}
+
 void call_session::on_read(const boost::system::error_code& failed,
                            std::size_t size)
 {
@@ -193,7 +220,8 @@
 {
     parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     parser.body_limit(limits.body_bytes);
-    m_stream->expires_after(read_timeout(limits.head_timeout));
+    const auto watch =
+        holds_head(m_buffer) ? nullptr : watch_request(limits.head_timeout);
     boost::system::error_code failed;
     http::async_read_header(*m_stream, m_buffer, parser, await{failed});
     if (!failed)
@@ -230,7 +258,7 @@
         return false;
     const byte_backlog::body in_transit(m_host.incoming,
                                         parser.content_length().value_or(0));
-    m_stream->expires_after(read_timeout(body_timeout));
+    const auto watch = watch_request(body_timeout);
     boost::system::error_code failed;
     http::async_read(*m_stream, m_buffer, parser, await{failed});
     if (failed && is_malformed(failed))
--- a/tests/integration/call_session.cpp
+++ b/tests/integration/call_session.cpp
@@ -111,3 +111,65 @@
             return 0;
         });
 }
+
+TEST_CASE("a request that stalls does not reset the answer before it")
+{
+    run_main_fiber(
+        [](worker& on)
+        {
+            constexpr std::size_t body_bytes = 24 * 1024;
+            constexpr milliseconds head_timeout(200);
+            session_host host;
+            host.answer = [&](received_request&, cancel_scope&)
+            {
+                whole_response answer(boost::beast::http::status::ok, 11);
+                answer.body().assign(body_bytes, 'x');
+                answer.prepare_payload();
+                return answer;
+            };
+            host.limits = [&]
+            {
+                client_limits limits;
+                limits.head_timeout = head_timeout;
+                return limits;
+            };
+            host.is_stopping = [] { return false; };
+            auto server = listener::open(on, {"127.0.0.1", 0});
+            REQUIRE(server);
+            (*server)->start_accepting(
+                [&](std::shared_ptr<tcp_stream> stream)
+                { call_session::serve(on, std::move(stream), host); });
+            // Most of the answer stays in the server's socket.
+            tcp_stream client(on.io());
+            const boost::asio::ip::tcp::endpoint to(
+                boost::asio::ip::make_address("127.0.0.1"),
+                (*server)->local().port);
+            client.socket().open(to.protocol());
+            client.socket().set_option(
+                boost::asio::socket_base::receive_buffer_size(4 * 1024));
+            boost::system::error_code failed;
+            client.expires_after(std::chrono::seconds(5));
+            client.async_connect(to, await{failed});
+            const auto send = [&](std::string_view bytes)
+            {
+                boost::asio::async_write(client, boost::asio::buffer(bytes),
+                                         await{failed});
+            };
+            send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+            sleep_for(on.io(), milliseconds(50));
+            CHECK(host.unanswered == 0);
+            send("GET /b HTTP/1.1\r\nHo");
+            sleep_for(on.io(), 2 * head_timeout);
+            send("st: a\r\n\r\n");
+            sleep_for(on.io(), milliseconds(50));
+            std::string received;
+            boost::asio::async_read(
+                client, boost::asio::dynamic_buffer(received), await{failed});
+            CHECK(failed == boost::asio::error::eof);
+            CHECK(received.size() > body_bytes);
+            client.socket().close();
+            while (!host.sessions.empty()) // they use the host
+                sleep_for(on.io(), milliseconds(5));
+            return 0;
+        });
+}
