A stop waits until clients have received their answers

What callers see: the rest of an answer is lost if its client reads slowly and sends something after the node has exited.

Cause: an answer counted as sent when the socket had taken it. The kernel goes on after the exit, until bytes from the client reset the connection.

Fix: the stop also waits, within its limits, while a client has not acknowledged all that was sent (SIOCOUTQ of its connections).

Test: "a stop waits until clients have received their answers", red before (4,096 of 24,576 bytes).

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -39,6 +39,9 @@
      * still receives do not run. */
     virtual void close_idle() = 0;
 
+    /** @return whether the client has not received all that was sent. */
+    virtual bool is_delivering() = 0;
+
 protected:
     ~open_session() = default;
 };
@@ -49,6 +52,9 @@
     /** Closes all idle connections, and later ones at once. */
     void close_idle();
 
+    /** @return whether a client has not received all that was sent to it. */
+    bool is_delivering();
+
     /** Answers one call; runs on a fiber of its own. */
     std::function<whole_response(received_request&, cancel_scope&)> answer;
     /** Makes the answer to an invalid request. */
@@ -97,6 +103,7 @@
     serve(worker& on, std::shared_ptr<tcp_stream> stream, session_host& host);
 
     void close_idle() override;
+    bool is_delivering() override;
 
 private:
     using request_parser =
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -2,10 +2,13 @@
 #include "tillerhall/core/await.hpp"
 #include "tillerhall/core/worker.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 namespace tillerhall
 {
@@ -91,6 +94,19 @@
         each.close_idle();
 }
 
+bool session_host::is_delivering()
+{
+    return std::ranges::any_of(sessions, &open_session::is_delivering);
+}
+
+bool call_session::is_delivering()
+{
+    int bytes = 0; // sent and not acknowledged
+    return m_stream->socket().is_open() &&
+           ::ioctl(m_stream->socket().native_handle(), SIOCOUTQ, &bytes) == 0 &&
+           bytes > 0;
+}
+
 void call_session::close_idle()
 {
     if (m_closing || !m_pending.empty())
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -367,16 +367,18 @@
         return client_host.unanswered + peer_host.unanswered;
     }
 
-    /** Returns the number of connections that the process must not close yet:
-     * with unanswered calls, or with an answer that could still be lost. */
-    std::int64_t open_work() const
+    /** Returns whether connections must not be closed yet: there are calls
+     * without an answer, or answers that could still be lost. */
+    bool has_open_work()
     {
-        return unanswered_calls() + client_host.lingering + peer_host.lingering;
+        return unanswered_calls() > 0 || client_host.lingering > 0 ||
+               peer_host.lingering > 0 || client_host.is_delivering() ||
+               peer_host.is_delivering();
     }
 
     void wait_for_work(time_point until)
     {
-        while (open_work() > 0 && steady_clock::now() < until)
+        while (has_open_work() && steady_clock::now() < until)
             sleep_for(main_worker.io(), poll_interval);
     }
 
--- a/tests/integration/planned_stops.cpp
+++ b/tests/integration/planned_stops.cpp
@@ -170,6 +170,27 @@
         });
 }
 
+TEST_CASE("a stop waits until clients have received their answers")
+{
+    on_worker(
+        [](worker& on)
+        {
+            constexpr std::size_t body_bytes = 24 * 1024;
+            two_hosts system(on);
+            system.target().faults().body_bytes = body_bytes;
+            auto client = slow_client(on, system.entry().at["caller"]);
+            send(*client, request_of("unread"));
+            REQUIRE(system.wait_until(
+                [&] { return system.runs_of("unread") == 1; }));
+            sleep_for(on.io(), milliseconds(100));
+            system.entry().node.send(SIGTERM);
+            // The node has had no other work for a second by then.
+            sleep_for(on.io(), milliseconds(3'300));
+            send(*client, "GET /"); // of a request that stalled
+            CHECK(read_all(*client).size() > body_bytes);
+        });
+}
+
 TEST_CASE("calls that cross the exit of their owner are refused as not run")
 {
     on_worker(
