Missing calls are proved by responses to runs as well

Cause: only health checks and refusals were evidence, one report at a time was kept, and beside calls that begin and end all the time most reports prove nothing.

--- a/include/tillerhall/proxy/target_loads.hpp
+++ b/include/tillerhall/proxy/target_loads.hpp
@@ -49,9 +49,11 @@
               boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
     {
     public:
-        /** @param stream closed if the target does not have the call
+        /** @param start of the target that gets the call
+         * @param stream closed if the target does not have the call
          * @param run expected run time */
         sent_call(target_loads& in,
+                  const std::string& start,
                   tcp_stream& stream,
                   time_point begun,
                   duration run);
@@ -67,9 +69,12 @@
          * answer that a busy worker has not read. */
         bool is_silent();
 
-        /** @return whether its request was sent after @p from and until
-         * @p until, and no answer to it is known. */
-        bool was_sent(time_point from, time_point until) const noexcept;
+        /** @return whether its request was sent until @p until to the current
+         * start of the target, and no answer to it is known. */
+        bool was_sent(time_point until) const noexcept;
+
+        /** Another start of the target is in use. */
+        void start_ended() noexcept { m_is_at_current_start = false; }
 
         bool is_answering() const noexcept { return m_is_answering; }
 
@@ -86,6 +91,7 @@
         time_point m_overdue_from;
         /** When the whole request was sent; unset before. */
         std::optional<time_point> m_sent;
+        bool m_is_at_current_start;
         bool m_is_answering = false;
         bool m_is_given_up = false;
     };
@@ -122,10 +128,14 @@
      * target has it. @param recent age of reports that count */
     bool needs_report(duration recent, time_point now) const;
 
+    /** @return whether the last report had fewer calls than were sent. */
+    bool suspects_missing() const noexcept { return m_suspects_missing; }
+
     const slowness_tracker& speed() const noexcept { return m_speed; }
     const foreign_runs& foreign() const noexcept { return m_foreign; }
 
 private:
+    void take_round_trip(duration trip, time_point received);
     void take_missing(std::int64_t calls, time_point sent, time_point received);
     void give_up_missing(time_point now);
     void give_up(sent_call& call, time_point now);
@@ -136,13 +146,15 @@
     const worker& m_worker;
     reader m_read;
     std::string m_start;
-    time_point m_start_known_at{};
     slowness_tracker m_speed;
     foreign_runs m_foreign;
     missing_calls m_missing;
     time_point m_last_report{};        ///< of this start; unset without one
     std::int64_t m_reported_calls = 0; ///< in that report
     bool m_suspects_missing = false;   ///< by that report
+    /** Longest of the recent health checks and refusals. */
+    duration m_round_trip{};
+    time_point m_round_trip_at{};
     bounded_state_log m_slow_log;
     bounded_state_log m_foreign_log;
     /** The oldest first. */
--- a/include/tillerhall/routing/missing_calls.hpp
+++ b/include/tillerhall/routing/missing_calls.hpp
@@ -4,7 +4,9 @@
 #include "tillerhall/core/time.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <vector>
 
 namespace tillerhall
 {
@@ -15,31 +17,31 @@
  * not under way. Answers a target that takes calls which it cannot queue;
  * without this each holds a slot until its deadline. Does no I/O.
  *
- * Only responses that took no run are evidence: their round trip bounds the
- * time that requests and answers are under way. The reported calls are
- * compared with the settled ones, those that were sent a round trip before.
- * Answers that begin within `transit_trips` round trips after the report may
- * have been under way when it was made, so each of them explains one settled
- * call that the report lacks. What is left is the number of missing calls, and
- * once no other settled call is without an answer, all that are left are
- * missing. Two such proofs are required. A report with more missing calls
- * replaces one that proves nothing yet.
+ * The round trip of a response that took no run bounds the time that requests
+ * and answers are under way. The reported calls are compared with the settled
+ * ones, those that were sent a round trip before. Answers that begin within a
+ * round trip after the report may have been under way when it was made, so each
+ * of them explains one settled call that the report lacks. What is left is the
+ * number of missing calls, and once no other settled call is without an answer,
+ * all that are left are missing. Two reports must prove it.
  */
 class missing_calls
 {
 public:
-    /** Answers are under way for at most so many round trips of a report. */
-    static constexpr int transit_trips = 2;
     /** A report's round trip counts as at least this. */
-    static constexpr milliseconds min_trip{3};
+    static constexpr milliseconds min_trip{5};
+    /** Reports that are kept until they prove something or no longer can. */
+    static constexpr std::size_t max_reports = 8;
 
-    /** A response that took no run, with what the owner knew when it came. */
+    /** A reported load, with what the owner knew when it came. */
     struct report
     {
         std::int64_t calls = 0; ///< running and waiting, as reported
         /** Calls sent before `settled_until` whose answers have not begun. */
         std::int64_t settled = 0;
-        time_point sent{}; ///< when it was asked for
+        /** When it was asked for; for the response to a run, a recent round
+         * trip before it came. */
+        time_point sent{};
         time_point received{};
     };
 
@@ -73,7 +75,12 @@
         std::int64_t missing = 0;    ///< at least so many of them
     };
 
-    std::optional<evidence> m_evidence;
+    /** Applies @p change to the reports in which a call was settled that was
+     * sent at @p sent, and drops those that can prove nothing. */
+    void update_settled(time_point sent,
+                        const std::function<void(evidence&)>& change);
+
+    std::vector<evidence> m_evidence;         ///< the oldest first
     std::optional<time_point> m_proved_until; ///< by an earlier report
 };
 
--- a/src/proxy/target_loads.cpp
+++ b/src/proxy/target_loads.cpp
@@ -24,10 +24,13 @@
 // from being given up because the host is busy.
 constexpr int overdue_runs = 3;
 constexpr milliseconds min_overdue(100);
+// For so long a round trip bounds the time that requests and answers take.
+constexpr milliseconds round_trip_valid(300);
 
 } // namespace
 
 target_loads::sent_call::sent_call(target_loads& in,
+                                   const std::string& start,
                                    tcp_stream& stream,
                                    time_point begun,
                                    duration run)
@@ -36,13 +39,14 @@
     , m_begun(begun)
     , m_overdue_from(begun +
                      std::max<duration>(run * overdue_runs, min_overdue))
+    , m_is_at_current_start(start == in.m_start)
 {
     in.m_sent_calls.push_back(*this);
 }
 
 target_loads::sent_call::~sent_call()
 {
-    if (m_sent && !m_is_answering && !m_is_given_up)
+    if (m_sent && m_is_at_current_start && !m_is_answering && !m_is_given_up)
         m_in.m_missing.call_ended(*m_sent);
 }
 
@@ -54,10 +58,10 @@
     return !m_is_answering;
 }
 
-bool target_loads::sent_call::was_sent(time_point from,
-                                       time_point until) const noexcept
+bool target_loads::sent_call::was_sent(time_point until) const noexcept
 {
-    return !m_is_answering && m_sent && from <= *m_sent && *m_sent <= until;
+    return m_is_at_current_start && !m_is_answering && m_sent &&
+           *m_sent <= until;
 }
 
 void target_loads::sent_call::give_up()
@@ -74,7 +78,7 @@
 
 void target_loads::sent_call::response_began()
 {
-    if (!std::exchange(m_is_answering, true) && m_sent)
+    if (!std::exchange(m_is_answering, true) && m_sent && m_is_at_current_start)
         m_in.m_missing.answer_began(*m_sent, m_in.m_worker.earliest_arrival());
 }
 
@@ -95,7 +99,8 @@
     if (start == m_start)
         return;
     m_start = start;
-    m_start_known_at = now;
+    for (auto& each : m_sent_calls)
+        each.start_ended();
     m_suspects_missing = false;
     m_logged_invalid = false;
     m_speed.reset();
@@ -130,8 +135,11 @@
         own - std::ranges::count_if(m_sent_calls, &sent_call::is_answering);
     m_suspects_missing =
         silent > m_reported_calls - m_foreign.answered_run(ran);
-    if (m_suspects_missing && !ran)
-        take_missing(m_reported_calls, sent, received);
+    if (!ran)
+        take_round_trip(received - sent, received);
+    if (m_suspects_missing && received < m_round_trip_at + round_trip_valid)
+        take_missing(m_reported_calls - m_foreign.answered_run(ran),
+                     ran ? received - m_round_trip : sent, received);
     m_foreign.take({.calls = (*load)->calls(),
                     .own = own,
                     .own_settled = settled,
@@ -140,6 +148,14 @@
     update(received);
 }
 
+void target_loads::take_round_trip(duration trip, time_point received)
+{
+    if (received < m_round_trip_at + round_trip_valid)
+        trip = std::max(trip, m_round_trip);
+    m_round_trip = trip;
+    m_round_trip_at = received;
+}
+
 void target_loads::take_missing(std::int64_t calls,
                                 time_point sent,
                                 time_point received)
@@ -147,7 +163,7 @@
     const auto until = missing_calls::settled_until(sent, received);
     const auto settled = std::ranges::count_if(
         m_sent_calls, [&](sent_call& each)
-        { return each.was_sent(m_start_known_at, until) && each.is_silent(); });
+        { return each.was_sent(until) && each.is_silent(); });
     m_missing.take({calls, settled, sent, received});
 }
 
@@ -159,8 +175,8 @@
     for (auto at = m_sent_calls.begin(); at != m_sent_calls.end();)
     {
         auto& each = *at++;
-        if (now >= each.overdue_from() &&
-            each.was_sent(m_start_known_at, *until) && each.is_silent())
+        if (now >= each.overdue_from() && each.was_sent(*until) &&
+            each.is_silent())
             give_up(each, now);
     }
 }
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -192,7 +192,10 @@
             m_pool.give_back(target.where, std::move(*stream),
                              duration(default_idle_timeout) - idle_margin);
     }
-    m_next_check = steady_clock::now() + check_interval;
+    // A call that may be missing waits for proof.
+    m_next_check =
+        steady_clock::now() +
+        (m_loads.suspects_missing() ? follow_interval : check_interval);
     m_checks_target = false;
 }
 
@@ -757,7 +760,8 @@
     const auto sent_at = steady_clock::now();
     m_sends.add();
     std::optional<target_loads::sent_call> outstanding;
-    outstanding.emplace(m_loads, **stream, sent_at, expected_run(call));
+    outstanding.emplace(m_loads, target.start(), **stream, sent_at,
+                        expected_run(call));
     start_following();
     auto result = exchange(
         **stream, sent,
--- a/src/routing/missing_calls.cpp
+++ b/src/routing/missing_calls.cpp
@@ -23,47 +23,64 @@
 void missing_calls::take(const report& seen)
 {
     const auto missing = seen.settled - seen.calls;
-    if (missing <= (m_evidence ? m_evidence->missing : 0))
+    if (missing <= 0)
         return;
-    const auto transit = round_trip(seen.sent, seen.received) * transit_trips;
-    m_evidence =
-        evidence{.settled_until = settled_until(seen.sent, seen.received),
-                 .in_transit_until = seen.received + transit,
-                 .unanswered = seen.settled,
-                 .missing = missing};
+    if (m_evidence.size() == max_reports)
+        m_evidence.erase(m_evidence.begin());
+    m_evidence.push_back(
+        {.settled_until = settled_until(seen.sent, seen.received),
+         .in_transit_until =
+             seen.received + round_trip(seen.sent, seen.received),
+         .unanswered = seen.settled,
+         .missing = missing});
+}
+
+void missing_calls::update_settled(time_point sent,
+                                   const std::function<void(evidence&)>& change)
+{
+    for (auto& each : m_evidence)
+        if (sent <= each.settled_until)
+            change(each);
+    std::erase_if(m_evidence,
+                  [](const evidence& each) { return each.missing <= 0; });
 }
 
 void missing_calls::answer_began(time_point sent, time_point arrived)
 {
-    if (!m_evidence || sent > m_evidence->settled_until)
-        return;
-    --m_evidence->unanswered;
-    if (arrived <= m_evidence->in_transit_until)
-        --m_evidence->missing;
-    if (m_evidence->missing <= 0)
-        m_evidence.reset();
+    update_settled(sent,
+                   [arrived](evidence& each)
+                   {
+                       --each.unanswered;
+                       if (arrived <= each.in_transit_until)
+                           --each.missing;
+                   });
 }
 
 void missing_calls::call_ended(time_point sent)
 {
-    if (!m_evidence || sent > m_evidence->settled_until)
-        return;
-    --m_evidence->unanswered;
-    // Which kind it was is not known.
-    --m_evidence->missing;
-    if (m_evidence->missing <= 0)
-        m_evidence.reset();
+    update_settled(sent,
+                   [](evidence& each)
+                   {
+                       --each.unanswered;
+                       --each.missing; // which kind it was is not known
+                   });
 }
 
 std::optional<time_point> missing_calls::missing_until(time_point now)
 {
-    if (!m_evidence || now <= m_evidence->in_transit_until ||
-        m_evidence->unanswered > m_evidence->missing)
+    const auto proof =
+        std::ranges::find_if(m_evidence,
+                             [now](const evidence& each) {
+                                 return now > each.in_transit_until &&
+                                        each.unanswered <= each.missing;
+                             });
+    if (proof == m_evidence.end())
         return std::nullopt;
-    const auto proved =
-        std::exchange(m_proved_until, m_evidence->settled_until);
-    m_evidence.reset();
-    return proved;
+    const auto until = proof->settled_until;
+    m_evidence.erase(proof);
+    const auto earlier = std::exchange(
+        m_proved_until, std::max(m_proved_until.value_or(until), until));
+    return earlier ? std::optional(std::min(*earlier, until)) : std::nullopt;
 }
 
 } // namespace tillerhall
