A stop of a busy worker finishes calls until the last sixth of its grace period

What callers see: calls that are ended though their node had time left.

Cause: the margin for the last answers was extended by the delay with which the signal was handled, also below what callers rely on. Found in the review, by reading; with a grace period of 6 s it took a delay of 0.4 s.

Fix: calls end no earlier than after five sixths, unless the process must exit.

Test: the unit test of the phases checks it.

--- a/include/tillerhall/node/stop_schedule.hpp
+++ b/include/tillerhall/node/stop_schedule.hpp
@@ -19,6 +19,12 @@
     static constexpr int serving_share_denominator = 5;
     /** Part of the grace period that is reserved for the last answers. */
     static constexpr milliseconds answer_margin{600};
+    /** Callers rely on calls being finished in this share of the grace period,
+     * also at a slow worker: 5/6. */
+    static constexpr int finishing_share_numerator = 5;
+    static constexpr int finishing_share_denominator = 6;
+    /** Least time from the end of calls to the exit. */
+    static constexpr milliseconds min_answer_time{100};
     /** The process exits so long before it would be killed. */
     static constexpr milliseconds exit_margin{100};
 
@@ -38,13 +44,18 @@
     {
         const auto delay =
             std::max<duration>(duration::zero(), handled - signal);
-        const auto for_calls =
-            std::max<duration>(duration::zero(), grace - answer_margin - delay);
+        const auto exit_after = grace - exit_margin - delay;
+        const auto least =
+            grace * finishing_share_numerator / finishing_share_denominator;
+        const auto for_calls = std::max<duration>(
+            duration::zero(),
+            std::min<duration>(
+                std::max<duration>(least, grace - answer_margin - delay),
+                exit_after - min_answer_time));
         const auto serving = std::min<duration>(
             max_serving,
             for_calls * serving_share_numerator / serving_share_denominator);
-        return {signal + serving, signal + for_calls,
-                signal + grace - exit_margin - delay};
+        return {signal + serving, signal + for_calls, signal + exit_after};
     }
 };
 
--- a/tests/unit/stop_schedule.cpp
+++ b/tests/unit/stop_schedule.cpp
@@ -21,6 +21,10 @@
             CHECK(stop.serve_until <= signal + stop_schedule::max_serving);
             CHECK(stop.serve_until <= stop.calls_end);
             CHECK(stop.calls_end < stop.exit_by);
+            // Calls end in the last sixth, unless the process must exit.
+            CHECK((stop.calls_end >= signal + grace * 5 / 6 ||
+                   stop.calls_end + stop_schedule::min_answer_time >=
+                       stop.exit_by));
             // As late again, the process is still gone in time.
             CHECK(stop.exit_by + delay < signal + grace);
         }
