A connection is not closed while its client still receives the last answer

What callers see: the rest of an answer is lost if the client reads it for longer than a second and sends something meanwhile.

Cause: after the last answer of a connection it was closed a second later, whatever the client had received.

Test: "a request that stalls does not reset the answer before it" also waits for longer than that second.

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -177,6 +177,9 @@
     void close_and_cancel();
     void send_goaway();
     void linger();
+    /** Closes the connection after `linger_time`, or later while the client
+     * still receives; not after @p latest. */
+    void wait_for_client(time_point latest);
 
     worker& m_worker;
     std::shared_ptr<tcp_stream> m_stream;
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -25,8 +25,9 @@
 constexpr std::chrono::seconds max_call_time(60);
 // Enough for a body of the maximum size from a slow client.
 constexpr std::chrono::seconds body_timeout(20);
-// After the last answer the input is read and discarded for so long: closing
-// with unread bytes would reset the connection and lose the answer.
+// After the last answer the input is read and discarded for so long, and on
+// while the client has not received all: closing with unread bytes would reset
+// the connection and lose the answer.
 constexpr std::chrono::seconds linger_time(1);
 // A worker that has been busy for less than this reads a close soon enough.
 constexpr milliseconds busy_check_limit(20);
@@ -397,18 +398,27 @@
 {
     if (!m_stream->socket().is_open() || m_linger_end)
         return;
-    m_linger_end =
-        std::make_unique<boost::asio::steady_timer>(m_worker.io(), linger_time);
+    m_linger_end = std::make_unique<boost::asio::steady_timer>(m_worker.io());
     m_lingering.emplace(m_host.lingering);
+    wait_for_client(steady_clock::now() + write_timeout);
+    if (!m_reading)
+        wait_for_bytes();
+}
+
+void call_session::wait_for_client(time_point latest)
+{
+    m_linger_end->expires_after(linger_time);
     m_linger_end->async_wait(
-        [self = shared_from_this()](const boost::system::error_code&)
+        [self = shared_from_this(),
+         latest](const boost::system::error_code& failed)
         {
+            if (!failed && self->is_delivering() &&
+                steady_clock::now() < latest)
+                return self->wait_for_client(latest);
             boost::system::error_code ignored;
             self->m_stream->socket().close(ignored);
             self->m_lingering.reset();
         });
-    if (!m_reading)
-        wait_for_bytes();
 }
 
 } // namespace tillerhall
--- a/tests/integration/call_session.cpp
+++ b/tests/integration/call_session.cpp
@@ -114,8 +114,11 @@
 
 TEST_CASE("a request that stalls does not reset the answer before it")
 {
+    // The session has closed its side then, or has waited for a second, too.
+    const milliseconds stall = GENERATE(milliseconds(400), milliseconds(1'700));
+    CAPTURE(stall.count());
     run_main_fiber(
-        [](worker& on)
+        [=](worker& on)
         {
             constexpr std::size_t body_bytes = 24 * 1024;
             constexpr milliseconds head_timeout(200);
@@ -159,7 +162,7 @@
             sleep_for(on.io(), milliseconds(50));
             CHECK(host.unanswered == 0);
             send("GET /b HTTP/1.1\r\nHo");
-            sleep_for(on.io(), 2 * head_timeout);
+            sleep_for(on.io(), stall);
             send("st: a\r\n\r\n");
             sleep_for(on.io(), milliseconds(50));
             std::string received;
