The round trip that proves missing calls is that of the last two checks

While health checks followed each other within 300 ms the longest of all their round trips counted, so that one slow check delayed a proof for as long. By reading; no call was seen to wait for it.

--- a/include/tillerhall/proxy/target_loads.hpp
+++ b/include/tillerhall/proxy/target_loads.hpp
@@ -152,8 +152,9 @@
     time_point m_last_report{};        ///< of this start; unset without one
     std::int64_t m_reported_calls = 0; ///< in that report
     bool m_suspects_missing = false;   ///< by that report
-    /** Longest of the recent health checks and refusals. */
+    /** The longer one of the last two health checks and refusals. */
     duration m_round_trip{};
+    duration m_last_trip{};
     time_point m_round_trip_at{};
     bounded_state_log m_slow_log;
     bounded_state_log m_foreign_log;
--- a/src/proxy/target_loads.cpp
+++ b/src/proxy/target_loads.cpp
@@ -150,9 +150,9 @@
 
 void target_loads::take_round_trip(duration trip, time_point received)
 {
-    if (received < m_round_trip_at + round_trip_valid)
-        trip = std::max(trip, m_round_trip);
-    m_round_trip = trip;
+    const bool has_recent = received < m_round_trip_at + round_trip_valid;
+    m_round_trip = has_recent ? std::max(trip, m_last_trip) : trip;
+    m_last_trip = trip;
     m_round_trip_at = received;
 }
 
