--- a/tests/integration/planned_stops_soak.cpp
+++ b/tests/integration/planned_stops_soak.cpp
@@ -35,10 +35,12 @@
 {
     std::string id;
     bool is_unsafe = false;
-    bool is_sent = false; ///< the whole of it
-    unsigned status = 0;  ///< 0: the connection closed before the answer
-    std::string error{};  ///< of the connection
-    time_point begun{};
+    bool is_sent = false;  ///< the whole of it
+    unsigned status = 0;   ///< 0: the connection closed before the answer
+    std::string error{};   ///< of the connection
+    std::size_t entry = 0; ///< index of the host
+    std::uint64_t begun_ms = wall_clock_ms();
+    time_point begun = steady_clock::now();
     duration ended_after{};
 };
 
@@ -67,12 +69,12 @@
     {
         while (steady_clock::now() < until)
         {
-            auto& host =
-                m_system.hosts()[m_random.below(m_system.hosts().size())];
+            const auto entry = m_random.below(m_system.hosts().size());
+            auto& host = m_system.hosts()[entry];
             auto stream = connect_stream(m_system.on().io(), host.at["caller"],
                                          std::chrono::seconds(1));
             if (stream)
-                use(**stream, until);
+                use(**stream, entry, until);
             else
                 sleep_for(m_system.on().io(), milliseconds(50));
         }
@@ -80,7 +82,7 @@
     }
 
     /** Sends requests until the connection closes. */
-    void use(tcp_stream& stream, time_point until)
+    void use(tcp_stream& stream, std::size_t entry, time_point until)
     {
         boost::beast::flat_buffer buffer;
         while (steady_clock::now() < until)
@@ -88,7 +90,7 @@
             std::vector<client_request*> sent;
             const auto count = 1 + m_random.below(3);
             for (std::uint64_t i = 0; i < count; ++i)
-                sent.push_back(&send(stream));
+                sent.push_back(&send(stream, entry));
             for (auto* each : sent)
                 if (!read_answer(stream, buffer, *each))
                     return;
@@ -96,11 +98,11 @@
         }
     }
 
-    client_request& send(tcp_stream& stream)
+    client_request& send(tcp_stream& stream, std::size_t entry)
     {
         auto& made = m_requests.emplace_back();
         made.id = "r-" + std::to_string(m_requests.size());
-        made.begun = steady_clock::now();
+        made.entry = entry;
         made.is_unsafe = m_random.below(2) == 0;
         const auto text =
             std::string("GET ") + (made.is_unsafe ? "/sales/x" : "/fields/x") +
@@ -265,7 +267,9 @@
         else
             made.lost.push_back(
                 each.id + " status " + std::to_string(each.status) + " runs " +
-                std::to_string(runs) + " after " +
+                std::to_string(runs) + " at host " +
+                std::to_string(each.entry) + " from " +
+                std::to_string(each.begun_ms) + " after " +
                 std::to_string(to_ms(each.ended_after)) + " ms " + each.error);
     }
     return made;
