Two reports that prove a missing call are 100 ms apart

What callers see: 502 for a call that its target had run, 108 ms after it was sent.

Cause: both proofs may come from reports a few milliseconds apart. The round trip of a check was short; then answers of 100 KB took the link, and the first byte of another answer came later than a round trip.

The least time for an overdue call stays.

Tests: "reports of less than 100 ms prove nothing", red before.

--- a/include/tillerhall/routing/missing_calls.hpp
+++ b/include/tillerhall/routing/missing_calls.hpp
@@ -23,13 +23,17 @@
  * round trip after the report may have been under way when it was made, so each
  * of them explains one settled call that the report lacks. What is left is the
  * number of missing calls, and once no other settled call is without an answer,
- * all that are left are missing. Two reports must prove it.
+ * all that are left are missing. Two reports that are `confirm_time`
+ * apart must prove it.
  */
 class missing_calls
 {
 public:
     /** A report's round trip counts as at least this. */
     static constexpr milliseconds min_trip{5};
+    /** Least time between the two reports. Answers are under way for longer
+     * than a round trip if others begin to use the link after it. */
+    static constexpr milliseconds confirm_time{100};
     /** Reports that are kept until they prove something or no longer can. */
     static constexpr std::size_t max_reports = 8;
 
@@ -70,6 +74,7 @@
     struct evidence
     {
         time_point settled_until{};
+        time_point received{};
         time_point in_transit_until{};
         std::int64_t unanswered = 0; ///< settled calls without an answer
         std::int64_t missing = 0;    ///< at least so many of them
@@ -80,8 +85,8 @@
     void update_settled(time_point sent,
                         const std::function<void(evidence&)>& change);
 
-    std::vector<evidence> m_evidence;         ///< the oldest first
-    std::optional<time_point> m_proved_until; ///< by an earlier report
+    std::vector<evidence> m_evidence; ///< the oldest first
+    std::optional<evidence> m_proof;  ///< an earlier report
 };
 
 } // namespace tillerhall
--- a/src/routing/missing_calls.cpp
+++ b/src/routing/missing_calls.cpp
@@ -29,6 +29,7 @@
         m_evidence.erase(m_evidence.begin());
     m_evidence.push_back(
         {.settled_until = settled_until(seen.sent, seen.received),
+         .received = seen.received,
          .in_transit_until =
              seen.received + round_trip(seen.sent, seen.received),
          .unanswered = seen.settled,
@@ -76,11 +77,14 @@
                              });
     if (proof == m_evidence.end())
         return std::nullopt;
-    const auto until = proof->settled_until;
+    const evidence found = *proof;
     m_evidence.erase(proof);
-    const auto earlier = std::exchange(
-        m_proved_until, std::max(m_proved_until.value_or(until), until));
-    return earlier ? std::optional(std::min(*earlier, until)) : std::nullopt;
+    if (m_proof && found.received < m_proof->received + confirm_time)
+        return std::nullopt;
+    const auto earlier = std::exchange(m_proof, found);
+    return earlier ? std::optional(
+                         std::min(earlier->settled_until, found.settled_until))
+                   : std::nullopt;
 }
 
 } // namespace tillerhall
--- a/tests/unit/missing_calls.cpp
+++ b/tests/unit/missing_calls.cpp
@@ -94,6 +94,18 @@
     }
 }
 
+TEST_CASE("reports of less than 100 ms prove nothing")
+{
+    missing_calls missing;
+    for (int sent = 0; sent < 100; sent += 20)
+    {
+        missing.take(report_at(sent, 0, 1));
+        CHECK_FALSE(missing.missing_until(at(sent + 21)));
+    }
+    missing.take(report_at(100, 0, 1));
+    CHECK(missing.missing_until(at(121)) == at(-10));
+}
+
 TEST_CASE("more calls than were sent are none that is missing")
 {
     missing_calls missing;
