review: case 1, a rejected unsafe request runs twice after a late copy of the rejection

What breaks: TWICE and REFUSED. A backend that rejects a request with free slots gets it again at once, under the same id and on the same connection. A late copy of the first rejection is taken for the answer to the second send, which the backend runs; the request then runs at another backend too, or its client is told that it did not run. Code at fault: exchange_run::read and stream_pool reuse in target_owner::send, with call_entry::may_send_again.

--- /dev/null
+++ b/review/lab/cases.cpp
@@ -0,0 +1,430 @@
+#include "cases.hpp"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+
+namespace review
+{
+namespace
+{
+
+constexpr int broken = 1;
+constexpr int held = 0;
+constexpr int could_not_run = 2;
+
+constexpr std::array not_run_statuses{408U, 421U, 429U, 503U};
+
+/** The service of the sales: two zones' worth of machines. */
+constexpr std::array sale_zones{"polder-a", "polder-a", "polder-b", "polder-c"};
+
+/** Sends requests at a constant rate to all machines in turn. */
+class steady_load
+{
+public:
+    steady_load(lab& in, double per_s, client_request pattern)
+        : m_in(in)
+        , m_gap(std::chrono::duration_cast<duration>(
+              std::chrono::duration<double>(1 / per_s)))
+        , m_pattern(std::move(pattern))
+    {
+    }
+
+    /** Sends for @p span and waits for the last answers. */
+    void play(duration span)
+    {
+        const auto until = steady_clock::now() + span;
+        auto next = steady_clock::now();
+        while (next < until)
+        {
+            m_in.on().spawn([this, number = m_sent++] { send(number); });
+            next += m_gap;
+            sleep_for(m_in.on().io(), next - steady_clock::now());
+        }
+        while (m_open > 0 || m_answers.size() < m_sent)
+            sleep_for(m_in.on().io(), milliseconds(20));
+    }
+
+    const std::map<std::string, seen>& answers() const { return m_answers; }
+
+    /** @return whether the request was sent to machine @p index. */
+    bool is_for(const std::string& id, std::size_t index) const
+    {
+        return std::stoull(id.substr(1)) % m_in.machines().size() == index;
+    }
+
+private:
+    void send(std::size_t number)
+    {
+        ++m_open;
+        auto request = m_pattern;
+        request.id = "c" + std::to_string(number);
+        request.path += std::to_string(number);
+        const auto& machines = m_in.machines();
+        const auto to = machines[number % machines.size()]->caller;
+        m_answers[request.id] = call(m_in, to, request);
+        --m_open;
+    }
+
+    lab& m_in;
+    duration m_gap;
+    client_request m_pattern;
+    std::size_t m_sent = 0;
+    std::size_t m_open = 0;
+    std::map<std::string, seen> m_answers;
+};
+
+/** Backends of one service reject requests while they have free slots, and some
+ * of them send an answer too many. */
+int play_second_run(lab& in, bool trouble)
+{
+    static constexpr std::chrono::seconds cycle(12);
+    constexpr int cycles = 8;
+    for (const auto* zone : sale_zones)
+        in.add("oogstbeurs", zone);
+    for (const auto* zone : {"polder-b", "polder-c"})
+        in.add("perceel", zone);
+    if (!in.start_all())
+        return could_not_run;
+    const auto set_faults = [&in](double shed, double extra)
+    {
+        for (std::size_t i = 0; i < sale_zones.size(); ++i)
+        {
+            auto& faults = in.machines()[i]->app->faults();
+            faults.shed = shed;
+            // 0.6 of the service's backends, rounded down.
+            faults.extra_late = i < 2 ? extra : 0;
+        }
+    };
+    if (trouble)
+        in.on().spawn(
+            [&in, set_faults]
+            {
+                for (int i = 0; i < cycles; ++i)
+                {
+                    in.notes().line("disruption all sale backends reject 0.55; "
+                                    "two repeat 0.03 of their answers");
+                    set_faults(0.55, 0.03);
+                    sleep_for(in.on().io(), milliseconds(5'000));
+                    set_faults(0.55, 0);
+                    sleep_for(in.on().io(), milliseconds(3'500));
+                    in.notes().line("disruption ends");
+                    set_faults(0, 0);
+                    sleep_for(in.on().io(), cycle - milliseconds(8'500));
+                }
+            });
+    steady_load sales(in, 113,
+                      {.method = "POST",
+                       .path = "/verkoop/",
+                       .host = "beurs.example",
+                       .body = std::string(300, 'x')});
+    sales.play(cycle * cycles);
+    std::size_t twice = 0;
+    std::size_t false_refusals = 0;
+    const auto runs = in.runs_by_id();
+    for (const auto& [id, all] : runs)
+        if (all.size() > 1)
+        {
+            ++twice;
+            in.notes().line("TWICE      " + id + " ran at " + all[0].backend +
+                            " and at " + all[1].backend);
+        }
+    for (const auto& [id, answer] : sales.answers())
+        if (std::ranges::find(not_run_statuses, answer.status) !=
+                not_run_statuses.end() &&
+            runs.contains(id))
+        {
+            ++false_refusals;
+            in.notes().line("REFUSED    " + id + " was answered " +
+                            std::to_string(answer.status) + " and ran");
+        }
+    in.notes().line("counted    " + std::to_string(sales.answers().size()) +
+                    " requests, " + std::to_string(twice) + " ran twice, " +
+                    std::to_string(false_refusals) +
+                    " refused that had run");
+    return twice + false_refusals > 0 ? broken : held;
+}
+
+/** Clients send bodies of the size that the limits allow, several at once. The
+ * platform kills a process whose memory is over its limit. */
+int play_large_bodies(lab& in, bool trouble)
+{
+    constexpr double memory_limit_mb = 260;
+    constexpr int rounds = 9;
+    constexpr int at_once = 3;
+    const std::size_t bytes = trouble ? 64U << 20U : 360'000;
+    for (const auto* zone : {"polder-a", "polder-b", "polder-c"})
+        in.add("schuur", zone);
+    for (const auto* zone : {"polder-a", "polder-b", "polder-c"})
+        in.add("perceel", zone);
+    if (!in.start_all())
+        return could_not_run;
+    for (auto& each : in.machines())
+        each->app->set_work(milliseconds(120));
+    bool ended = false;
+    in.on().spawn(
+        [&in, &ended]
+        {
+            std::vector<double> most(in.machines().size());
+            while (!ended)
+            {
+                for (std::size_t i = 0; i < most.size(); ++i)
+                {
+                    auto& each = *in.machines()[i];
+                    const double used = lab::memory_mb(each);
+                    if (used > most[i] + 50)
+                    {
+                        most[i] = used;
+                        in.notes().line("memory     " + each.app->id() + " " +
+                                        std::to_string(used) + " MB");
+                    }
+                    if (used <= memory_limit_mb)
+                        continue;
+                    most[i] = 0;
+                    in.notes().line("over       the node beside " +
+                                    each.app->id() + " has " +
+                                    std::to_string(used) +
+                                    " MB, the platform kills it");
+                    ::kill(each.pid, SIGKILL);
+                }
+                in.restart_ended();
+                sleep_for(in.on().io(), milliseconds(10));
+            }
+        });
+    // Small safe requests on kept connections, at the machines that also take
+    // the bodies.
+    std::map<std::string, seen> small;
+    std::size_t open = 0;
+    for (int client = 0; client < 16; ++client)
+    {
+        ++open;
+        in.on().spawn(
+            [&, client]
+            {
+                kept_connection kept(
+                    in, in.machines()[static_cast<std::size_t>(client) % 2]
+                            ->caller);
+                for (int i = 0; !ended; ++i)
+                {
+                    const auto id =
+                        "v" + std::to_string(client) + "-" + std::to_string(i);
+                    small[id] = kept.call({.id = id,
+                                           .path = "/kijk/" + id,
+                                           .host = "veld.example",
+                                           .left = milliseconds(2'500)});
+                    sleep_for(in.on().io(), milliseconds(50));
+                }
+                --open;
+            });
+    }
+    sleep_for(in.on().io(), std::chrono::seconds(5));
+    int number = 0;
+    for (int round = 0; round < rounds; ++round)
+    {
+        for (int i = 0; i < at_once * 2; ++i)
+            in.on().spawn(
+                [&in, bytes, i, id = "u" + std::to_string(number++)]
+                {
+                    call(in, in.machines()[static_cast<std::size_t>(i) % 2]
+                                 ->caller,
+                         {.id = id,
+                          .method = "POST",
+                          .path = "/foto/" + id,
+                          .host = "schuur.example",
+                          .body = std::string(bytes, 'x')});
+                });
+        sleep_for(in.on().io(), std::chrono::seconds(8));
+    }
+    ended = true;
+    while (open > 0)
+        sleep_for(in.on().io(), milliseconds(20));
+    int cut = 0;
+    const auto runs = in.runs_by_id();
+    for (const auto& [id, answer] : small)
+        if (answer.status == 0 && runs.contains(id))
+        {
+            ++cut;
+            in.notes().line("LOST       " + id + " ran at " +
+                            runs.at(id)[0].backend +
+                            " and its connection ended with no answer");
+        }
+    int ended_thrice = 0;
+    for (const auto& each : in.machines())
+        if (each->own_ends > 0)
+        {
+            ended_thrice += each->own_ends >= 3 ? 1 : 0;
+            in.notes().line("counted    the node beside " + each->app->id() +
+                            " ended " + std::to_string(each->own_ends) +
+                            " times");
+        }
+    in.notes().line("counted    " + std::to_string(small.size()) +
+                    " small requests, " + std::to_string(cut) +
+                    " cut after they reached a backend; " +
+                    std::to_string(ended_thrice) +
+                    " machines whose process ended three times");
+    return cut > 3 || ended_thrice >= 2 ? broken : held;
+}
+
+/** The reader of a node's output stops reading. */
+int play_stalled_output(lab& in, bool trouble)
+{
+    constexpr double timeout_s = 1.5;
+    for (const auto* zone : sale_zones)
+        in.add("oogstbeurs", zone);
+    in.machines()[0]->output = output_reader::pipe;
+    if (!in.start_all())
+        return could_not_run;
+    auto& first = *in.machines()[0];
+    steady_load sales(in, 113,
+                      {.method = "POST",
+                       .path = "/verkoop/",
+                       .host = "beurs.example",
+                       .body = std::string(300, 'x')});
+    in.on().spawn(
+        [&in, &first, trouble]
+        {
+            sleep_for(in.on().io(), std::chrono::seconds(5));
+            if (trouble)
+                first.stop_reading();
+            in.notes().line(trouble ? "disruption the output of the first node "
+                                      "is not read any more"
+                                    : "no disruption of the output");
+            while (true)
+            {
+                for (const double share : {0.55, 0.0})
+                {
+                    in.notes().line("disruption the sale backends reject " +
+                                    std::to_string(share));
+                    for (auto& each : in.machines())
+                        each->app->faults().shed = share;
+                    sleep_for(in.on().io(),
+                              milliseconds(share > 0 ? 8'500 : 1'500));
+                }
+            }
+        });
+    bool ended = false;
+    in.on().spawn(
+        [&in, &first, &ended]
+        {
+            while (!ended)
+            {
+                const bool ready = in.is_ready(first);
+                if (!ready)
+                    in.notes().line("not ready  the first node");
+                sleep_for(in.on().io(), std::chrono::seconds(1));
+            }
+        });
+    sales.play(std::chrono::seconds(60));
+    ended = true;
+    int sent = 0;
+    int late = 0;
+    for (const auto& [id, answer] : sales.answers())
+    {
+        if (!sales.is_for(id, 0))
+            continue;
+        const double took = answer.at_s - answer.sent_s;
+        sent += took > timeout_s || answer.status == 0 ? 1 : 0;
+        late += answer.status == 0 || took > timeout_s + 0.5 ? 1 : 0;
+    }
+    in.notes().line("counted    at the first node " + std::to_string(sent) +
+                    " requests lasted longer than the route's timeout, " +
+                    std::to_string(late) +
+                    " had no answer half a second after it");
+    return late >= 8 && late * 4 > sent ? broken : held;
+}
+
+/** Clients that open a connection for each request leave before the answer. */
+int play_client_leaves(lab& in, bool trouble)
+{
+    constexpr std::size_t slow_backends = 2;
+    constexpr milliseconds usual_work(120);
+    for (const auto* zone :
+         {"polder-a", "polder-a", "polder-b", "polder-b", "polder-c"})
+        in.add("perceel", zone);
+    if (!in.start_all())
+        return could_not_run;
+    for (auto& each : in.machines())
+        each->app->set_work(usual_work);
+    bool is_disrupted = false;
+    bool ended = false;
+    in.on().spawn(
+        [&]
+        {
+            while (trouble && !ended)
+            {
+                in.notes().line("disruption two backends are 12 times slower; "
+                                "0.3 of the clients leave within 200 ms");
+                is_disrupted = true;
+                for (std::size_t i = 0; i < slow_backends; ++i)
+                    in.machines()[i]->app->set_work(usual_work * 12);
+                sleep_for(in.on().io(), milliseconds(5'000));
+                in.notes().line("disruption ends");
+                is_disrupted = false;
+                for (std::size_t i = 0; i < slow_backends; ++i)
+                    in.machines()[i]->app->set_work(usual_work);
+                sleep_for(in.on().io(), milliseconds(5'000));
+            }
+        });
+    random_source random(7);
+    std::map<std::string, double> left;
+    std::map<std::string, double> closed;
+    for (int i = 0; i < 6'000; ++i)
+    {
+        client_request request{.id = "g" + std::to_string(i),
+                               .path = "/kijk/" + std::to_string(i),
+                               .host = "veld.example",
+                               .left = milliseconds(2'500),
+                               .closes = true};
+        const bool leaves = is_disrupted && random.unit() < 0.3;
+        if (leaves)
+            request.leaves_after = milliseconds(50 + random.below(150));
+        const auto to = in.machines()[static_cast<std::size_t>(i) % 5]->caller;
+        in.on().spawn(
+            [&in, &left, request, to, leaves]
+            {
+                const auto answer = call(in, to, request);
+                if (leaves && answer.status == 0)
+                    left[request.id] = answer.at_s;
+            });
+        sleep_for(in.on().io(), milliseconds(10));
+    }
+    ended = true;
+    sleep_for(in.on().io(), milliseconds(3'000));
+    int would_last = 0;
+    int at_work = 0;
+    for (const auto& [id, runs] : in.runs_by_id())
+        for (const auto& each : runs)
+        {
+            const auto found = left.find(id);
+            if (found == left.end() ||
+                each.begin_s + each.work_s < found->second + 0.5)
+                continue;
+            ++would_last;
+            if (each.end_s < found->second + 0.5)
+                continue;
+            ++at_work;
+            in.notes().line("GONE       " + id + " left at " +
+                            std::to_string(found->second) + ", " +
+                            each.backend + " worked on until " +
+                            std::to_string(each.end_s));
+        }
+    in.notes().line("counted    " + std::to_string(left.size()) +
+                    " clients left, " + std::to_string(would_last) +
+                    " of their runs would have lasted half a second longer, " +
+                    std::to_string(at_work) + " did");
+    return would_last >= 8 && at_work * 4 > would_last ? broken : held;
+}
+
+} // namespace
+
+const std::map<std::string, case_function>& cases()
+{
+    static const std::map<std::string, case_function> all{
+        {"second-run", play_second_run},
+        {"large-bodies", play_large_bodies},
+        {"stalled-output", play_stalled_output},
+        {"client-leaves", play_client_leaves}};
+    return all;
+}
+
+} // namespace review
