review: case 1 measured: a rejected unsafe request runs twice after a late copy

Code at fault: exchange_run::read takes an answer by its id alone; target_owner::send returns the connection of a rejection to the pool and call_entry::may_send_again repeats the call on it.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,7 +4,11 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 folder=$(mktemp -d)
-trap 'rm -rf "$folder"' EXIT
+end() {
+  [ -f "$folder/pids" ] && xargs -r kill -9 < "$folder/pids" 2>/dev/null
+  rm -rf "$folder"
+}
+trap end EXIT
 cat > "$folder/config.json" <<'JSON'
 {"version": 7,
  "routes": [
--- a/review/lab/cases.cpp
+++ b/review/lab/cases.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <cstdlib>
 
 namespace review
 {
@@ -74,51 +75,69 @@
     std::map<std::string, seen> m_answers;
 };
 
+/** Switches a disruption on and off in turn. */
+void play_windows(lab& in,
+                  const std::string& what,
+                  milliseconds span,
+                  const std::function<void(bool)>& set)
+{
+    constexpr milliseconds pause(500);
+    while (true)
+    {
+        in.notes().line("disruption " + what);
+        set(true);
+        sleep_for(in.on().io(), span);
+        in.notes().line("disruption ends: " + what);
+        set(false);
+        sleep_for(in.on().io(), pause);
+    }
+}
+
 /** Backends of one service reject requests while they have free slots, and some
  * of them send an answer too many. */
 int play_second_run(lab& in, bool trouble)
 {
-    static constexpr std::chrono::seconds cycle(12);
-    constexpr int cycles = 8;
     for (const auto* zone : sale_zones)
         in.add("oogstbeurs", zone);
     for (const auto* zone : {"polder-b", "polder-c"})
         in.add("perceel", zone);
     if (!in.start_all())
         return could_not_run;
-    const auto set_faults = [&in](double shed, double extra)
-    {
-        for (std::size_t i = 0; i < sale_zones.size(); ++i)
-        {
-            auto& faults = in.machines()[i]->app->faults();
-            faults.shed = shed;
-            // 0.6 of the service's backends, rounded down.
-            faults.extra_late = i < 2 ? extra : 0;
-        }
-    };
     if (trouble)
+    {
         in.on().spawn(
-            [&in, set_faults]
+            [&in]
             {
-                for (int i = 0; i < cycles; ++i)
-                {
-                    in.notes().line("disruption all sale backends reject 0.55; "
-                                    "two repeat 0.03 of their answers");
-                    set_faults(0.55, 0.03);
-                    sleep_for(in.on().io(), milliseconds(5'000));
-                    set_faults(0.55, 0);
-                    sleep_for(in.on().io(), milliseconds(3'500));
-                    in.notes().line("disruption ends");
-                    set_faults(0, 0);
-                    sleep_for(in.on().io(), cycle - milliseconds(8'500));
-                }
+                play_windows(in, "the four sale backends reject 0.2",
+                             milliseconds(8'500),
+                             [&in](bool on)
+                             {
+                                 for (std::size_t i = 0; i < 4; ++i)
+                                     in.machines()[i]->app->faults().shed =
+                                         on ? 0.2 : 0;
+                             });
             });
+        // 0.6 of the service's backends, rounded down.
+        in.on().spawn(
+            [&in]
+            {
+                play_windows(
+                    in, "two sale backends repeat 0.03 of the answers",
+                    milliseconds(5'000),
+                    [&in](bool on)
+                    {
+                        for (std::size_t i = 0; i < 2; ++i)
+                            in.machines()[i]->app->faults().extra_late =
+                                on ? 0.03 : 0;
+                    });
+            });
+    }
     steady_load sales(in, 113,
                       {.method = "POST",
                        .path = "/verkoop/",
                        .host = "beurs.example",
                        .body = std::string(300, 'x')});
-    sales.play(cycle * cycles);
+    sales.play(std::chrono::seconds(95));
     std::size_t twice = 0;
     std::size_t false_refusals = 0;
     const auto runs = in.runs_by_id();
@@ -140,8 +159,7 @@
         }
     in.notes().line("counted    " + std::to_string(sales.answers().size()) +
                     " requests, " + std::to_string(twice) + " ran twice, " +
-                    std::to_string(false_refusals) +
-                    " refused that had run");
+                    std::to_string(false_refusals) + " refused that had run");
     return twice + false_refusals > 0 ? broken : held;
 }
 
@@ -225,8 +243,8 @@
             in.on().spawn(
                 [&in, bytes, i, id = "u" + std::to_string(number++)]
                 {
-                    call(in, in.machines()[static_cast<std::size_t>(i) % 2]
-                                 ->caller,
+                    call(in,
+                         in.machines()[static_cast<std::size_t>(i) % 2]->caller,
                          {.id = id,
                           .method = "POST",
                           .path = "/foto/" + id,
@@ -338,8 +356,8 @@
 {
     constexpr std::size_t slow_backends = 2;
     constexpr milliseconds usual_work(120);
-    for (const auto* zone :
-         {"polder-a", "polder-a", "polder-b", "polder-b", "polder-c"})
+    for (const auto* zone : {"polder-a", "polder-a", "polder-b", "polder-b",
+                             "polder-c", "polder-c"})
         in.add("perceel", zone);
     if (!in.start_all())
         return could_not_run;
@@ -368,7 +386,9 @@
     random_source random(7);
     std::map<std::string, double> left;
     std::map<std::string, double> closed;
-    for (int i = 0; i < 6'000; ++i)
+    constexpr int requests = 25'000;
+    auto next = steady_clock::now();
+    for (int i = 0; i < requests; ++i)
     {
         client_request request{.id = "g" + std::to_string(i),
                                .path = "/kijk/" + std::to_string(i),
@@ -378,7 +398,7 @@
         const bool leaves = is_disrupted && random.unit() < 0.3;
         if (leaves)
             request.leaves_after = milliseconds(50 + random.below(150));
-        const auto to = in.machines()[static_cast<std::size_t>(i) % 5]->caller;
+        const auto to = in.machines()[static_cast<std::size_t>(i) % 6]->caller;
         in.on().spawn(
             [&in, &left, request, to, leaves]
             {
@@ -386,7 +406,8 @@
                 if (leaves && answer.status == 0)
                     left[request.id] = answer.at_s;
             });
-        sleep_for(in.on().io(), milliseconds(10));
+        next += milliseconds(3);
+        sleep_for(in.on().io(), next - steady_clock::now());
     }
     ended = true;
     sleep_for(in.on().io(), milliseconds(3'000));
@@ -415,12 +436,105 @@
     return would_last >= 8 && at_work * 4 > would_last ? broken : held;
 }
 
+/** A backend's leaving is acknowledged while the store is down; then all node
+ * processes are killed. A late report of the backend comes after their restart.
+ */
+int play_lost_leaving(lab& in, bool trouble)
+{
+    constexpr double drain_s = 2;
+    constexpr double contact_s = 3;
+    const char* only = std::getenv("ONLY"); // one disruption alone
+    const bool has_outage = trouble && (!only || std::string(only) == "outage");
+    const bool has_kill = trouble && (!only || std::string(only) == "kill");
+    for (const auto* zone : sale_zones)
+        in.add("oogstbeurs", zone);
+    for (const auto* zone : {"polder-b", "polder-c"})
+        in.add("perceel", zone);
+    if (!in.start_all())
+        return could_not_run;
+    auto& io = in.on().io();
+    auto& notes = in.notes();
+    auto& leaver = *in.machines()[0];
+    double acked_s = 0;
+    double in_touch_s = 0;
+    in.on().spawn(
+        [&]
+        {
+            sleep_for(io, std::chrono::seconds(3));
+            const auto down_at = steady_clock::now();
+            in.store().faults().down = has_outage;
+            if (has_outage)
+                notes.line("disruption the store is down");
+            // A report that is late on its way, sent before the backend leaves.
+            leaver.reports = false;
+            const auto late_sequence = ++leaver.sequence;
+            notes.line("report     " + leaver.app->id() + " ready, sequence " +
+                       std::to_string(late_sequence) + ", late on its way");
+            sleep_for(io, milliseconds(1'000));
+            const auto status = leaver.reporter->leave(leaver.operators);
+            acked_s = notes.now_s();
+            notes.line("leaves     " + leaver.app->id() + ", answered " +
+                       std::to_string(status));
+            if (status != 200)
+                acked_s = 0;
+            sleep_for(io, milliseconds(500));
+            if (has_kill)
+            {
+                notes.line("disruption all node processes are killed");
+                for (const auto& each : in.machines())
+                    in.kill(*each);
+            }
+            sleep_for(io, milliseconds(500));
+            if (has_kill)
+            {
+                notes.line("restart    all node processes");
+                for (const auto& each : in.machines())
+                    in.start(*each);
+            }
+            sleep_for(io, down_at + milliseconds(4'500) - steady_clock::now());
+            in.store().faults().down = false;
+            if (has_outage)
+                notes.line("disruption ends, the store is back");
+            in_touch_s = notes.now_s() + contact_s;
+            sleep_for(io, milliseconds(1'000));
+            const auto late = leaver.reporter->report(leaver.operators, "ready",
+                                                      late_sequence);
+            notes.line("report     " + leaver.app->id() + " ready, sequence " +
+                       std::to_string(late_sequence) + ", arrives, answered " +
+                       std::to_string(late));
+        });
+    steady_load sales(in, 60,
+                      {.method = "POST",
+                       .path = "/verkoop/",
+                       .host = "beurs.example",
+                       .body = std::string(300, 'x')});
+    sales.play(std::chrono::seconds(16));
+    if (acked_s == 0)
+        return could_not_run;
+    int late = 0;
+    for (const auto& each : leaver.app->runs())
+    {
+        const double sent_s = sales.answers().at(each.id).sent_s;
+        if (sent_s < in_touch_s || each.begin_s <= acked_s + drain_s)
+            continue;
+        ++late;
+        notes.line("DRAIN      " + each.id + " reached " + each.backend + " " +
+                   std::to_string(each.begin_s - acked_s) +
+                   " s after its leaving was acknowledged");
+    }
+    notes.line("counted    " + std::to_string(late) +
+               " requests reached the backend that had left, later than 2 s "
+               "after the acknowledgement, from machines in touch");
+    return late > 0 ? broken : held;
+}
+
 } // namespace
 
 const std::map<std::string, case_function>& cases()
 {
     static const std::map<std::string, case_function> all{
         {"second-run", play_second_run},
+        {"lost-leaving", play_lost_leaving},
         {"large-bodies", play_large_bodies},
         {"stalled-output", play_stalled_output},
         {"client-leaves", play_client_leaves}};
--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -94,10 +94,7 @@
     m_file << time.data() << text << "\n" << std::flush;
 }
 
-backend::backend(worker& on,
-                 record& notes,
-                 std::string id,
-                 std::uint64_t seed)
+backend::backend(worker& on, record& notes, std::string id, std::uint64_t seed)
     : m_worker(on)
     , m_notes(notes)
     , m_id(std::move(id))
@@ -141,9 +138,9 @@
     {
         if (peer_has_closed(on.stream))
             return false;
-        sleep_for(m_worker.io(),
-                  std::min<duration>(poll_interval,
-                                     until - steady_clock::now()));
+        sleep_for(
+            m_worker.io(),
+            std::min<duration>(poll_interval, until - steady_clock::now()));
     }
     return true;
 }
@@ -179,8 +176,7 @@
         return send(call, on, 503, true);
     }
     const auto index = m_runs.size();
-    m_runs.push_back(
-        {id, m_id, m_notes.now_s(), 0, exact_ms(m_work) / 1000});
+    m_runs.push_back({id, m_id, m_notes.now_s(), 0, exact_ms(m_work) / 1000});
     m_notes.line("run        " + id + " at " + m_id);
     const bool done = work(on);
     --m_running;
@@ -199,9 +195,9 @@
     const std::string id(call.head()[names.request_id]);
     if (!id.empty())
         response.set(names.request_id, id);
-    response.set(platform::target_load_field,
-                 std::to_string(m_running) + "," + std::to_string(m_waiting) +
-                     "," + std::to_string(slots));
+    response.set(platform::target_load_field, std::to_string(m_running) + "," +
+                                                  std::to_string(m_waiting) +
+                                                  "," + std::to_string(slots));
     if (not_run)
         response.set(names.not_run, "1");
     else
@@ -232,11 +228,7 @@
 lab::~lab()
 {
     for (const auto& each : m_machines)
-        if (each->pid > 0)
-        {
-            ::kill(each->pid, SIGKILL);
-            ::waitpid(each->pid, nullptr, 0);
-        }
+        kill(*each);
 }
 
 address lab::free_address()
@@ -255,12 +247,12 @@
     made->zone = zone;
     made->settings_path = m_folder + "/node-" + index + ".yaml";
     made->log_path = m_folder + "/node-" + index + ".log";
-    for (auto* each : {&made->rpc, &made->peer, &made->caller,
-                       &made->operators, &made->ready})
+    for (auto* each : {&made->rpc, &made->peer, &made->caller, &made->operators,
+                       &made->ready})
         *each = free_address();
     const auto id = "i-" + service + "-" + index;
-    made->app = std::make_shared<backend>(m_worker, m_notes, id,
-                                          m_machines.size() + 1);
+    made->app =
+        std::make_shared<backend>(m_worker, m_notes, id, m_machines.size() + 1);
     made->reporter = std::make_shared<reporting_target>(m_worker, id, service);
     made->reporter->set_reported_address(made->app->where());
     made->reporter->set_slots(backend::slots);
@@ -316,6 +308,8 @@
                       arguments.data(), environ) != 0)
         at.pid = -1;
     posix_spawn_file_actions_destroy(&actions);
+    // For the script, should this program be ended before it ends the node.
+    std::ofstream(m_folder + "/pids", std::ios::app) << at.pid << "\n";
     if (pipe[1] >= 0)
         ::close(pipe[1]);
 }
@@ -330,9 +324,9 @@
 
 void lab::send_reports(machine& at)
 {
-    while (true)
+    while (at.reports)
     {
-        at.reporter->report(at.operators, "ready");
+        at.reporter->report(at.operators, "ready", ++at.sequence);
         sleep_for(m_worker.io(), report_interval);
     }
 }
@@ -357,6 +351,15 @@
     return true;
 }
 
+void lab::kill(machine& at)
+{
+    if (at.pid <= 0)
+        return;
+    ::kill(at.pid, SIGKILL);
+    ::waitpid(at.pid, nullptr, 0);
+    at.pid = -1;
+}
+
 void lab::restart_ended()
 {
     for (const auto& each : m_machines)
@@ -402,8 +405,8 @@
     if (request.closes)
         text += "Connection: close\r\n";
     if (!request.body.empty() || request.method != "GET")
-        text += "Content-Length: " + std::to_string(request.body.size()) +
-                "\r\n";
+        text +=
+            "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     return text + "\r\n";
 }
 
@@ -420,8 +423,8 @@
     if (m_stream && !is_reusable(*m_stream))
         m_stream.reset();
     if (!m_stream)
-        if (auto opened = connect_stream(m_in.on().io(), m_node,
-                                         std::chrono::seconds(1)))
+        if (auto opened =
+                connect_stream(m_in.on().io(), m_node, std::chrono::seconds(1)))
             m_stream = std::move(*opened);
     if (m_stream)
     {
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -119,6 +119,8 @@
     address rpc, peer, caller, operators, ready;
     std::shared_ptr<backend> app;
     std::shared_ptr<reporting_target> reporter; ///< sends its reports
+    std::uint64_t sequence = 0;                 ///< of its last report
+    bool reports = true;                        ///< regularly
     output_reader output = output_reader::file;
     pid_t pid = -1;
     unsigned own_ends = 0; ///< ends that the script did not cause
@@ -160,6 +162,9 @@
 
     bool is_ready(machine& at);
 
+    /** Ends the process of a machine without a warning. */
+    void kill(machine& at);
+
     /** Restarts processes that ended by themselves, and counts them. */
     void restart_ended();
 
@@ -198,7 +203,7 @@
     std::string body;
     milliseconds left{3000};
     milliseconds leaves_after{0}; ///< closes the connection then, if not 0
-    bool closes = false; ///< sends "Connection: close"
+    bool closes = false;          ///< sends "Connection: close"
 };
 
 /** The text of a request, up to the end of its head. */
