--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -225,7 +225,7 @@
     m_store->put(platform::config_table, "", platform::config_key, config);
 }
 
-lab::~lab()
+void lab::end()
 {
     for (const auto& each : m_machines)
         kill(*each);
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -139,7 +139,7 @@
     double at_s = 0;
 };
 
-/** Store, machines and what clients need; kills its processes at the end. */
+/** Store, machines and what clients need. */
 class lab
 {
 public:
@@ -150,7 +150,9 @@
         std::string folder,
         const std::string& config,
         std::string node_program);
-    ~lab();
+
+    /** Kills all processes that it started. */
+    void end();
 
     machine& add(const std::string& service, const std::string& zone);
 
--- a/review/lab/main.cpp
+++ b/review/lab/main.cpp
@@ -23,9 +23,11 @@
     const int code = tillerhall::run_main_fiber(
         [&](worker& on)
         {
-            record notes(argv[3]);
-            lab in(on, notes, argv[2], config, argv[5]);
-            const int result = found->second(in, trouble);
+            auto& notes = *new record(argv[3]);
+            // Never destroyed: fibers still refer to it.
+            auto* in = new lab(on, notes, argv[2], config, argv[5]);
+            const int result = found->second(*in, trouble);
+            in->end();
             notes.line("result     " + std::to_string(result));
             return result;
         });
