--- a/review/lab/cases.cpp
+++ b/review/lab/cases.cpp
@@ -48,10 +48,10 @@
 
     const std::map<std::string, seen>& answers() const { return m_answers; }
 
-    /** @return whether the request was sent to machine @p index. */
-    bool is_for(const std::string& id, std::size_t index) const
+    /** @return the machine where the request began. */
+    const machine* machine_of(const std::string& id) const
     {
-        return std::stoull(id.substr(1)) % m_in.machines().size() == index;
+        return m_sent_to.at(id);
     }
 
 private:
@@ -61,9 +61,9 @@
         auto request = m_pattern;
         request.id = "c" + std::to_string(number);
         request.path += std::to_string(number);
-        const auto& machines = m_in.machines();
-        const auto to = machines[number % machines.size()]->caller;
-        m_answers[request.id] = call(m_in, to, request);
+        auto& at = m_in.machine_of(number);
+        m_sent_to[request.id] = &at;
+        m_answers[request.id] = call(m_in, at.caller, request);
         --m_open;
     }
 
@@ -73,6 +73,7 @@
     std::size_t m_sent = 0;
     std::size_t m_open = 0;
     std::map<std::string, seen> m_answers;
+    std::map<std::string, const machine*> m_sent_to;
 };
 
 /** Switches a disruption on and off in turn. */
@@ -338,7 +339,7 @@
     int late = 0;
     for (const auto& [id, answer] : sales.answers())
     {
-        if (!sales.is_for(id, 0))
+        if (sales.machine_of(id) != &first)
             continue;
         const double took = answer.at_s - answer.sent_s;
         sent += took > timeout_s || answer.status == 0 ? 1 : 0;
@@ -528,6 +529,97 @@
     return late > 0 ? broken : held;
 }
 
+/** Notes a request that was broken off after SIGTERM. */
+void notes_lost(lab& in,
+                const std::string& id,
+                const seen& answer,
+                const run_note& run,
+                double stop_s)
+{
+    in.notes().line("LOST       " + id + " was sent " +
+                    std::to_string(answer.sent_s - stop_s) +
+                    " s after SIGTERM and answered " +
+                    std::to_string(answer.status) + " after " +
+                    std::to_string(answer.at_s - answer.sent_s) + " s, while " +
+                    run.backend + " worked on it");
+}
+
+/** Planned stops of nodes, beside backends whose answers begin a moment after
+ * their runs have left the load that they report. */
+int play_broken_off(lab& in, bool trouble)
+{
+    constexpr double grace_s = 6;
+    constexpr double timeout_s = 1.5;
+    constexpr milliseconds load_ahead_of_answer(20);
+    constexpr milliseconds stop_gap(2'000);
+    for (const auto* zone : sale_zones)
+        in.add("oogstbeurs", zone);
+    for (const auto* zone : {"polder-b", "polder-c"})
+        in.add("perceel", zone);
+    if (!in.start_all())
+        return could_not_run;
+    in.watch_ready();
+    for (auto& each : in.machines())
+    {
+        auto& behaviour = each->app->faults();
+        behaviour.tail_share = 0.02;
+        behaviour.tail = 5;
+        behaviour.answer_delay = load_ahead_of_answer;
+    }
+    bool ended = false;
+    std::multimap<const machine*, double> stops;
+    in.on().spawn(
+        [&]
+        {
+            for (std::size_t i = 0; trouble && !ended; ++i)
+            {
+                sleep_for(in.on().io(), stop_gap);
+                auto& next = *in.machines()[i % in.machines().size()];
+                stops.emplace(&next, in.restart_planned(next));
+            }
+        });
+    steady_load sales(in, 113,
+                      {.method = "POST",
+                       .path = "/verkoop/",
+                       .host = "beurs.example",
+                       .body = std::string(300, 'x')});
+    sales.play(std::chrono::seconds(84));
+    ended = true;
+    int cut = 0;
+    int counted = 0;
+    const auto runs = in.runs_by_id();
+    for (const auto& [id, answer] : sales.answers())
+    {
+        const auto found = runs.find(id);
+        if (answer.status == 200 || found == runs.end())
+            continue;
+        // Without the cut it would have ended in time.
+        const auto& run = found->second.back();
+        const double end_s = run.begin_s + run.work_s;
+        if (end_s <= answer.at_s || end_s > answer.sent_s + timeout_s)
+            continue;
+        ++cut;
+        const auto [first, last] = stops.equal_range(sales.machine_of(id));
+        for (auto each = first; each != last; ++each)
+        {
+            // Not counted: still at work in the last sixth of the grace.
+            const double stop_s = each->second;
+            if (answer.at_s < stop_s || answer.at_s > stop_s + grace_s + 1 ||
+                (end_s > stop_s + grace_s * 5 / 6 &&
+                 answer.sent_s <= stop_s + 3))
+                continue;
+            ++counted;
+            notes_lost(in, id, answer, run, stop_s);
+        }
+    }
+    in.notes().line("counted    " + std::to_string(sales.answers().size()) +
+                    " sales, " + std::to_string(cut) +
+                    " broken off while a backend worked on them, " +
+                    std::to_string(counted) +
+                    " of these taken by a node that had got SIGTERM");
+    return counted > 0 ? broken : held;
+}
+
 } // namespace
 
 const std::map<std::string, case_function>& cases()
@@ -536,6 +628,7 @@
         {"second-run", play_second_run},
         {"lost-leaving", play_lost_leaving},
         {"large-bodies", play_large_bodies},
+        {"broken-off", play_broken_off},
         {"stalled-output", play_stalled_output},
         {"client-leaves", play_client_leaves}};
     return all;
--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -131,9 +131,9 @@
     return true;
 }
 
-bool backend::work(connection& on)
+bool backend::work(connection& on, milliseconds span)
 {
-    const auto until = steady_clock::now() + m_work;
+    const auto until = steady_clock::now() + span;
     while (steady_clock::now() < until)
     {
         if (peer_has_closed(on.stream))
@@ -176,13 +176,17 @@
         return send(call, on, 503, true);
     }
     const auto index = m_runs.size();
-    m_runs.push_back({id, m_id, m_notes.now_s(), 0, exact_ms(m_work) / 1000});
+    const bool is_long = m_random.unit() < m_faults.tail_share;
+    const auto span = m_work * (is_long ? m_faults.tail : 1);
+    m_runs.push_back({id, m_id, m_notes.now_s(), 0, exact_ms(span) / 1000});
     m_notes.line("run        " + id + " at " + m_id);
-    const bool done = work(on);
+    const bool done = work(on, span);
     --m_running;
     m_runs[index].end_s = m_notes.now_s();
     if (!done)
         m_notes.line("dropped    " + id + " at " + m_id);
+    if (done && m_faults.answer_delay > milliseconds::zero())
+        sleep_for(m_worker.io(), m_faults.answer_delay);
     return done && send(call, on, 200, false);
 }
 
@@ -351,6 +355,51 @@
     return true;
 }
 
+void lab::watch_ready()
+{
+    for (const auto& each : m_machines)
+        m_worker.spawn(
+            [this, at = each.get()]
+            {
+                for (int missed = 0;;)
+                {
+                    missed = is_ready(*at) ? 0 : missed + 1;
+                    at->gets_clients = missed < 2;
+                    sleep_for(m_worker.io(), std::chrono::seconds(1));
+                }
+            });
+}
+
+machine& lab::machine_of(std::size_t number)
+{
+    const auto count = m_machines.size();
+    for (std::size_t i = 0; i < count; ++i)
+        if (auto& each = *m_machines[(number + i) % count]; each.gets_clients)
+            return each;
+    return *m_machines[number % count];
+}
+
+double lab::restart_planned(machine& at)
+{
+    const auto begin = steady_clock::now();
+    const double begin_s = m_notes.now_s();
+    m_notes.line("stop       the node beside " + at.app->id());
+    ::kill(at.pid, SIGTERM);
+    m_worker.spawn(
+        [this, &at, begin]
+        {
+            const auto end = begin + std::chrono::seconds(6);
+            while (steady_clock::now() < end &&
+                   ::waitpid(at.pid, nullptr, WNOHANG) == 0)
+                sleep_for(m_worker.io(), milliseconds(20));
+            if (steady_clock::now() < end)
+                at.pid = -1;
+            kill(at);
+            start(at);
+        });
+    return begin_s;
+}
+
 void lab::kill(machine& at)
 {
     if (at.pid <= 0)
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -44,6 +44,11 @@
     /** Share of the answers of which a second copy comes late, in the place
      * where the next answer of the connection is due. */
     double extra_late = 0;
+    /** Share of the runs that take `tail` times as long. */
+    double tail_share = 0;
+    int tail = 1;
+    /** Time from the end of a run until its answer begins. */
+    milliseconds answer_delay{0};
 };
 
 /** One run of a request at a backend. */
@@ -86,7 +91,7 @@
     /** Waits for a slot. @return false if the request is rejected. */
     bool take_slot(time_point deadline);
     /** @return false if the connection was closed meanwhile. */
-    bool work(connection& on);
+    bool work(connection& on, milliseconds span);
     bool
     send(inbound_call& call, connection& on, unsigned status, bool not_run);
 
@@ -121,6 +126,7 @@
     std::shared_ptr<reporting_target> reporter; ///< sends its reports
     std::uint64_t sequence = 0;                 ///< of its last report
     bool reports = true;                        ///< regularly
+    bool gets_clients = true;                   ///< see `lab::watch_ready`
     output_reader output = output_reader::file;
     pid_t pid = -1;
     unsigned own_ends = 0; ///< ends that the script did not cause
@@ -164,6 +170,17 @@
 
     bool is_ready(machine& at);
 
+    /** Asks each node every second if it is ready, as the platform does: after
+     * two failures its clients go elsewhere until it is ready again. */
+    void watch_ready();
+
+    /** @return the machine that the client of request @p number is at. */
+    machine& machine_of(std::size_t number);
+
+    /** Stops a node, ends it after the grace period and starts it again.
+     * @return the time of SIGTERM */
+    double restart_planned(machine& at);
+
     /** Ends the process of a machine without a warning. */
     void kill(machine& at);
 
