--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -231,6 +231,7 @@
 
 void lab::end()
 {
+    m_ended = true;
     for (const auto& each : m_machines)
         kill(*each);
 }
@@ -285,6 +286,8 @@
 
 void lab::start(machine& at)
 {
+    if (m_ended)
+        return;
     write_settings(at);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -157,7 +157,7 @@
         const std::string& config,
         std::string node_program);
 
-    /** Kills all processes that it started. */
+    /** Kills all processes that it started; it starts none afterwards. */
     void end();
 
     machine& add(const std::string& service, const std::string& zone);
@@ -210,6 +210,7 @@
     std::shared_ptr<store_standin> m_store;
     std::vector<std::unique_ptr<machine>> m_machines;
     std::vector<std::unique_ptr<listener>> m_reserved_ports;
+    bool m_ended = false;
 };
 
 /** A request of a client. */
