--- a/review/lab/cases.cpp
+++ b/review/lab/cases.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <csignal>
 #include <cstdlib>
+#include <string_view>
 
 namespace review
 {
@@ -16,6 +17,14 @@
 
 constexpr std::array not_run_statuses{408U, 421U, 429U, 503U};
 
+/** @return whether the run is a control of this name, set by ONLY: the case
+ * with one disruption alone, or with the suspected path left out. */
+bool is_control(std::string_view name)
+{
+    const char* given = std::getenv("ONLY");
+    return given != nullptr && name == given;
+}
+
 /** The service of the sales: two zones' worth of machines. */
 constexpr std::array sale_zones{"polder-a", "polder-a", "polder-b", "polder-c"};
 
@@ -104,8 +113,9 @@
         in.add("perceel", zone);
     if (!in.start_all())
         return could_not_run;
-    if (trouble)
-    {
+    for (auto& each : in.machines())
+        each->app->faults().spares_repeats = is_control("other-ids");
+    if (trouble && !is_control("extra"))
         in.on().spawn(
             [&in]
             {
@@ -118,7 +128,8 @@
                                          on ? 0.2 : 0;
                              });
             });
-        // 0.6 of the service's backends, rounded down.
+    // 0.6 of the service's backends, rounded down.
+    if (trouble && !is_control("reject"))
         in.on().spawn(
             [&in]
             {
@@ -132,7 +143,6 @@
                                 on ? 0.03 : 0;
                     });
             });
-    }
     steady_load sales(in, 113,
                       {.method = "POST",
                        .path = "/verkoop/",
@@ -444,9 +454,8 @@
 {
     constexpr double drain_s = 2;
     constexpr double contact_s = 3;
-    const char* only = std::getenv("ONLY"); // one disruption alone
-    const bool has_outage = trouble && (!only || std::string(only) == "outage");
-    const bool has_kill = trouble && (!only || std::string(only) == "kill");
+    const bool has_outage = trouble && !is_control("kill");
+    const bool has_kill = trouble && !is_control("outage");
     for (const auto* zone : sale_zones)
         in.add("oogstbeurs", zone);
     for (const auto* zone : {"polder-b", "polder-c"})
@@ -463,9 +472,16 @@
         {
             sleep_for(io, std::chrono::seconds(3));
             const auto down_at = steady_clock::now();
-            in.store().faults().down = has_outage;
-            if (has_outage)
-                notes.line("disruption the store is down");
+            const auto begin_outage = [&]
+            {
+                in.store().faults().down = has_outage;
+                if (has_outage)
+                    notes.line("disruption the store is down");
+            };
+            // In this control the departure is written before the outage.
+            const bool is_stored = is_control("stored");
+            if (!is_stored)
+                begin_outage();
             // A report that is late on its way, sent before the backend leaves.
             leaver.reports = false;
             const auto late_sequence = ++leaver.sequence;
@@ -478,6 +494,8 @@
                        std::to_string(status));
             if (status != 200)
                 acked_s = 0;
+            if (is_stored)
+                begin_outage();
             sleep_for(io, milliseconds(500));
             if (has_kill)
             {
@@ -498,6 +516,8 @@
                 notes.line("disruption ends, the store is back");
             in_touch_s = notes.now_s() + contact_s;
             sleep_for(io, milliseconds(1'000));
+            if (is_control("no-report"))
+                return;
             const auto late = leaver.reporter->report(leaver.operators, "ready",
                                                       late_sequence);
             notes.line("report     " + leaver.app->id() + " ready, sequence " +
@@ -564,7 +584,8 @@
         auto& behaviour = each->app->faults();
         behaviour.tail_share = 0.02;
         behaviour.tail = 5;
-        behaviour.answer_delay = load_ahead_of_answer;
+        if (!is_control("stops"))
+            behaviour.answer_delay = load_ahead_of_answer;
     }
     bool ended = false;
     std::multimap<const machine*, double> stops;
--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -151,6 +151,8 @@
         return false;
     const auto& head = call.head();
     const std::string id(head[names.request_id]);
+    if (m_faults.spares_repeats && id == on.late_id)
+        on.late.clear();
     if (!on.late.empty())
     {
         // One answer too many, in the place where the next one is due.
@@ -211,7 +213,10 @@
     std::ostringstream text;
     text << response;
     if (!id.empty() && m_random.unit() < m_faults.extra_late)
+    {
         on.late = text.str();
+        on.late_id = id;
+    }
     return write_text(on.stream, text.str());
 }
 
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -44,6 +44,8 @@
     /** Share of the answers of which a second copy comes late, in the place
      * where the next answer of the connection is due. */
     double extra_late = 0;
+    /** For a control: no such copy before a request of the same id. */
+    bool spares_repeats = false;
     /** Share of the runs that take `tail` times as long. */
     double tail_share = 0;
     int tail = 1;
@@ -83,7 +85,8 @@
     struct connection
     {
         tcp_stream& stream;
-        std::string late; ///< copy of the last answer, not sent yet
+        std::string late;    ///< copy of the last answer, not sent yet
+        std::string late_id; ///< of its request
     };
 
     void serve(tcp_stream& stream);
