--- a/review/lab/cases.cpp
+++ b/review/lab/cases.cpp
@@ -549,6 +549,117 @@
     return late > 0 ? broken : held;
 }
 
+/** A backend crashes, starts again under its id and drains soon after. A
+ * liveness report of its earlier start comes late, after the acknowledgement.
+ */
+int play_earlier_start(lab& in, bool trouble)
+{
+    constexpr double drain_s = 2;
+    constexpr double contact_s = 3;
+    constexpr milliseconds report_delay(5'000);
+    constexpr milliseconds serves_on_for(12'000);
+    const bool has_crash = trouble && !is_control("late-report");
+    const bool has_late_report = trouble && !is_control("crash");
+    for (const auto* zone : sale_zones)
+        in.add("oogstbeurs", zone);
+    for (const auto* zone : {"polder-b", "polder-c"})
+        in.add("perceel", zone);
+    for (const auto& each : in.machines())
+        each->born = wall_clock_ms();
+    if (!in.start_all())
+        return could_not_run;
+    auto& io = in.on().io();
+    auto& notes = in.notes();
+    auto& leaver = *in.machines()[0];
+    // Says what the earlier start has sent.
+    reporting_target earlier(in.on(), leaver.app->id(), leaver.service);
+    earlier.set_reported_address(leaver.app->where());
+    earlier.set_slots(backend::slots);
+    const auto first_born = leaver.born;
+    earlier.set_start_time_ms(first_born);
+    double acked_s = 0;
+    double in_touch_s = 0;
+    in.on().spawn(
+        [&]
+        {
+            sleep_for(io, std::chrono::seconds(3));
+            const auto late_at = steady_clock::now() + report_delay;
+            leaver.reports = false;
+            const auto late_sequence = leaver.sequence + 1;
+            if (has_late_report)
+                notes.line("report     " + leaver.app->id() + " ready, born " +
+                           std::to_string(first_born) + ", sequence " +
+                           std::to_string(late_sequence) + ", late on its way");
+            if (has_crash)
+            {
+                notes.line("disruption " + leaver.app->id() + " crashes");
+                leaver.app->crash();
+            }
+            // Longer than the gap between two of its reports.
+            sleep_for(io, milliseconds(1'600));
+            if (has_crash)
+            {
+                leaver.born = wall_clock_ms();
+                leaver.app->start_again();
+                notes.line("start      " + leaver.app->id() + " again, born " +
+                           std::to_string(leaver.born));
+            }
+            const auto sequence = leaver.sequence;
+            in.begin_reports(leaver);
+            if (!has_crash)
+                leaver.sequence = sequence + 1;
+            in_touch_s = notes.now_s() + contact_s;
+            sleep_for(io, milliseconds(1'800));
+            leaver.state = "draining";
+            leaver.app->begin_draining();
+            const auto status = leaver.reporter->report(
+                leaver.operators, leaver.state, ++leaver.sequence);
+            acked_s = status == 200 ? notes.now_s() : 0;
+            notes.line("draining   " + leaver.app->id() + ", answered " +
+                       std::to_string(status));
+            const auto ends_at = steady_clock::now() + serves_on_for;
+            sleep_for(io, late_at - steady_clock::now());
+            if (has_late_report)
+            {
+                const auto late =
+                    earlier.report(leaver.operators, "ready", late_sequence);
+                notes.line("report     " + leaver.app->id() + " ready, born " +
+                           std::to_string(first_born) + ", sequence " +
+                           std::to_string(late_sequence) +
+                           ", arrives, answered " + std::to_string(late));
+            }
+            sleep_for(io, ends_at - steady_clock::now());
+            leaver.reports = false;
+            notes.line(
+                "leaves     " + leaver.app->id() + ", answered " +
+                std::to_string(leaver.reporter->leave(leaver.operators)));
+            leaver.app->crash();
+        });
+    steady_load sales(in, 113,
+                      {.method = "POST",
+                       .path = "/verkoop/",
+                       .host = "beurs.example",
+                       .body = std::string(300, 'x')});
+    sales.play(std::chrono::seconds(22));
+    if (acked_s == 0)
+        return could_not_run;
+    int late = 0;
+    for (const auto& each : leaver.app->runs())
+    {
+        const double sent_s = sales.answers().at(each.id).sent_s;
+        if (sent_s < in_touch_s || each.begin_s <= acked_s + drain_s)
+            continue;
+        ++late;
+        notes.line("DRAIN      " + each.id + " reached " + each.backend + " " +
+                   std::to_string(each.begin_s - acked_s) +
+                   " s after its draining was acknowledged");
+    }
+    notes.line("counted    " + std::to_string(late) +
+               " requests reached the backend that drains, later than 2 s "
+               "after the acknowledgement, from machines in touch");
+    return late > 0 ? broken : held;
+}
+
 /** Notes a request that was broken off after SIGTERM. */
 void notes_lost(lab& in,
                 const std::string& id,
@@ -648,6 +759,7 @@
     static const std::map<std::string, case_function> all{
         {"second-run", play_second_run},
         {"lost-leaving", play_lost_leaving},
+        {"earlier-start", play_earlier_start},
         {"large-bodies", play_large_bodies},
         {"broken-off", play_broken_off},
         {"stalled-output", play_stalled_output},
--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -99,9 +99,32 @@
     , m_notes(notes)
     , m_id(std::move(id))
     , m_random(seed)
-    , m_listener(std::move(*listener::open(on, {"127.0.0.1", 0})))
+    , m_where{"127.0.0.1", 0}
 {
-    m_listener->start([this](tcp_stream& stream) { serve(stream); });
+    start_again();
+}
+
+void backend::start_again()
+{
+    ++m_boot;
+    m_listener = std::move(*listener::open(m_worker, m_where));
+    m_where = m_listener->local();
+    m_listener->start(
+        [this](tcp_stream& stream)
+        {
+            m_streams.insert(&stream);
+            serve(stream);
+            m_streams.erase(&stream);
+        });
+}
+
+void backend::crash()
+{
+    m_listener->close();
+    // Its fiber still uses the listener.
+    m_closed_listeners.push_back(std::move(m_listener));
+    for (auto* each : m_streams)
+        reset_stream(*each);
 }
 
 void backend::serve(tcp_stream& stream)
@@ -161,7 +184,7 @@
             return false;
     }
     if (id.empty()) // a status check
-        return send(call, on, 200, false);
+        return send(call, on, m_is_draining ? 503 : 200, false);
     if (head[names.expected_target] != m_id)
         return send(call, on, 421, true);
     if (m_random.unit() < m_faults.shed)
@@ -172,7 +195,14 @@
     std::int64_t left = 0;
     const auto text = head[names.time_left];
     std::from_chars(text.data(), text.data() + text.size(), left);
-    if (!take_slot(steady_clock::now() + milliseconds(left)))
+    const int boot = m_boot;
+    const bool has_slot = take_slot(steady_clock::now() + milliseconds(left));
+    if (boot != m_boot) // it has crashed meanwhile
+    {
+        m_running -= has_slot ? 1 : 0;
+        return false;
+    }
+    if (!has_slot)
     {
         m_notes.line("full       " + id + " at " + m_id);
         return send(call, on, 503, true);
@@ -338,7 +368,7 @@
 {
     while (at.reports)
     {
-        at.reporter->report(at.operators, "ready", ++at.sequence);
+        at.reporter->report(at.operators, at.state, ++at.sequence);
         sleep_for(m_worker.io(), report_interval);
     }
 }
@@ -358,11 +388,19 @@
             sleep_for(m_worker.io(), milliseconds(50));
         }
     for (const auto& each : m_machines)
-        m_worker.spawn([this, at = each.get()] { send_reports(*at); });
+        begin_reports(*each);
     sleep_for(m_worker.io(), std::chrono::seconds(3));
     return true;
 }
 
+void lab::begin_reports(machine& at)
+{
+    at.reporter->set_start_time_ms(at.born);
+    at.sequence = 0;
+    at.reports = true;
+    m_worker.spawn([this, &at] { send_reports(at); });
+}
+
 void lab::watch_ready()
 {
     for (const auto& each : m_machines)
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -70,8 +71,16 @@
 public:
     backend(worker& on, record& notes, std::string id, std::uint64_t seed);
 
-    const address& where() const { return m_listener->local(); }
+    const address& where() const { return m_where; }
     const std::string& id() const { return m_id; }
+
+    /** Crashes: its connections are reset and its port is closed. */
+    void crash();
+    /** Starts again at the same address, under the same id. */
+    void start_again();
+    /** From now on its status checks fail. */
+    void begin_draining() { m_is_draining = true; }
+
     backend_faults& faults() { return m_faults; }
     const std::vector<run_note>& runs() const { return m_runs; }
     void set_work(milliseconds work) { m_work = work; }
@@ -102,9 +111,14 @@
     record& m_notes;
     std::string m_id;
     random_source m_random;
+    address m_where;
     std::unique_ptr<listener> m_listener;
+    std::vector<std::unique_ptr<listener>> m_closed_listeners;
+    std::set<tcp_stream*> m_streams;
     backend_faults m_faults;
     std::vector<run_note> m_runs;
+    int m_boot = 0;
+    bool m_is_draining = false;
     milliseconds m_work{160};
     int m_running = 0;
     int m_waiting = 0;
@@ -127,9 +141,11 @@
     address rpc, peer, caller, operators, ready;
     std::shared_ptr<backend> app;
     std::shared_ptr<reporting_target> reporter; ///< sends its reports
-    std::uint64_t sequence = 0;                 ///< of its last report
-    bool reports = true;                        ///< regularly
-    bool gets_clients = true;                   ///< see `lab::watch_ready`
+    std::uint64_t born = 0;      ///< start of the backend, if it tells it
+    std::uint64_t sequence = 0;  ///< of its last report
+    std::string state = "ready"; ///< in its reports
+    bool reports = true;         ///< regularly
+    bool gets_clients = true;    ///< see `lab::watch_ready`
     output_reader output = output_reader::file;
     pid_t pid = -1;
     unsigned own_ends = 0; ///< ends that the script did not cause
@@ -184,6 +200,9 @@
      * @return the time of SIGTERM */
     double restart_planned(machine& at);
 
+    /** A new start of the backend begins to report. */
+    void begin_reports(machine& at);
+
     /** Ends the process of a machine without a warning. */
     void kill(machine& at);
 
