review: stand-ins deregister with their start time; one more control of case 2

A backend tells `born` in all that it says of itself, so also when it deregisters, and names itself in the answers to status checks. The control before-draining lets the late report arrive while the later start is in use.

--- a/review/lab/cases.cpp
+++ b/review/lab/cases.cpp
@@ -560,6 +560,9 @@
     constexpr milliseconds serves_on_for(12'000);
     const bool has_crash = trouble && !is_control("late-report");
     const bool has_late_report = trouble && !is_control("crash");
+    // In this control the later start is in use when the report arrives.
+    const milliseconds late_for =
+        is_control("before-draining") ? milliseconds(3'000) : report_delay;
     for (const auto* zone : sale_zones)
         in.add("oogstbeurs", zone);
     for (const auto* zone : {"polder-b", "polder-c"})
@@ -583,13 +586,26 @@
         [&]
         {
             sleep_for(io, std::chrono::seconds(3));
-            const auto late_at = steady_clock::now() + report_delay;
+            const auto late_at = steady_clock::now() + late_for;
             leaver.reports = false;
             const auto late_sequence = leaver.sequence + 1;
             if (has_late_report)
                 notes.line("report     " + leaver.app->id() + " ready, born " +
                            std::to_string(first_born) + ", sequence " +
                            std::to_string(late_sequence) + ", late on its way");
+            in.on().spawn(
+                [&, late_at, late_sequence]
+                {
+                    sleep_for(io, late_at - steady_clock::now());
+                    if (!has_late_report)
+                        return;
+                    const auto late = earlier.report(leaver.operators, "ready",
+                                                     late_sequence);
+                    notes.line("report     " + leaver.app->id() +
+                               " ready, born " + std::to_string(first_born) +
+                               ", sequence " + std::to_string(late_sequence) +
+                               ", arrives, answered " + std::to_string(late));
+                });
             if (has_crash)
             {
                 notes.line("disruption " + leaver.app->id() + " crashes");
@@ -618,21 +634,10 @@
             notes.line("draining   " + leaver.app->id() + ", answered " +
                        std::to_string(status));
             const auto ends_at = steady_clock::now() + serves_on_for;
-            sleep_for(io, late_at - steady_clock::now());
-            if (has_late_report)
-            {
-                const auto late =
-                    earlier.report(leaver.operators, "ready", late_sequence);
-                notes.line("report     " + leaver.app->id() + " ready, born " +
-                           std::to_string(first_born) + ", sequence " +
-                           std::to_string(late_sequence) +
-                           ", arrives, answered " + std::to_string(late));
-            }
             sleep_for(io, ends_at - steady_clock::now());
             leaver.reports = false;
-            notes.line(
-                "leaves     " + leaver.app->id() + ", answered " +
-                std::to_string(leaver.reporter->leave(leaver.operators)));
+            notes.line("leaves     " + leaver.app->id() + ", answered " +
+                       std::to_string(in.deregister(leaver)));
             leaver.app->crash();
         });
     steady_load sales(in, 113,
--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -231,12 +231,14 @@
     const std::string id(call.head()[names.request_id]);
     if (!id.empty())
         response.set(names.request_id, id);
+    else
+        response.set("X-Instance-Id", m_id);
     response.set(platform::target_load_field, std::to_string(m_running) + "," +
                                                   std::to_string(m_waiting) +
                                                   "," + std::to_string(slots));
     if (not_run)
         response.set(names.not_run, "1");
-    else
+    else if (!id.empty())
         response.set(names.success_seal, "seal-of-" + m_id);
     response.body() = "answer to " + id;
     response.prepare_payload();
@@ -393,6 +395,18 @@
     return true;
 }
 
+unsigned lab::deregister(const machine& at)
+{
+    // All that a backend says of itself tells its start, if it has one.
+    const auto body =
+        at.born == 0 ? "" : "{\"born\":" + std::to_string(at.born) + "}";
+    api_client client(m_worker.io(), at.operators);
+    const auto answer =
+        client.call("POST", "/instances/" + at.app->id() + "/deregister", body,
+                    std::chrono::seconds(1));
+    return answer ? answer->status : 0;
+}
+
 void lab::begin_reports(machine& at)
 {
     at.reporter->set_start_time_ms(at.born);
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -200,6 +200,9 @@
      * @return the time of SIGTERM */
     double restart_planned(machine& at);
 
+    /** The backend deregisters. @return HTTP status, 0 if unanswered. */
+    unsigned deregister(const machine& at);
+
     /** A new start of the backend begins to report. */
     void begin_reports(machine& at);
 
