--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -231,8 +231,6 @@
     const std::string id(call.head()[names.request_id]);
     if (!id.empty())
         response.set(names.request_id, id);
-    else
-        response.set("X-Instance-Id", m_id);
     response.set(platform::target_load_field, std::to_string(m_running) + "," +
                                                   std::to_string(m_waiting) +
                                                   "," + std::to_string(slots));
