--- a/review/lab/cases.cpp
+++ b/review/lab/cases.cpp
@@ -488,7 +488,8 @@
             notes.line("report     " + leaver.app->id() + " ready, sequence " +
                        std::to_string(late_sequence) + ", late on its way");
             sleep_for(io, milliseconds(1'000));
-            const auto status = leaver.reporter->leave(leaver.operators);
+            leaver.app->begin_draining();
+            const auto status = in.deregister(leaver);
             acked_s = notes.now_s();
             notes.line("leaves     " + leaver.app->id() + ", answered " +
                        std::to_string(status));
@@ -567,8 +568,6 @@
         in.add("oogstbeurs", zone);
     for (const auto* zone : {"polder-b", "polder-c"})
         in.add("perceel", zone);
-    for (const auto& each : in.machines())
-        each->born = wall_clock_ms();
     if (!in.start_all())
         return could_not_run;
     auto& io = in.on().io();
--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -273,10 +273,24 @@
 
 address lab::free_address()
 {
-    auto opened = listener::open(m_worker, {"127.0.0.1", 0});
-    const auto found = (*opened)->local();
-    m_reserved_ports.push_back(std::move(*opened));
-    return found;
+    // Below the ports that the system hands out, and apart from those of
+    // another lab: between this choice and the node's start nobody holds it.
+    constexpr int first = 12'000;
+    constexpr int per_lab = 64;
+    constexpr int labs = 300;
+    for (int tries = 0; tries < per_lab; ++tries)
+    {
+        const int port =
+            first + (::getpid() % labs) * per_lab + m_next_port++ % per_lab;
+        auto opened = listener::open(
+            m_worker, {"127.0.0.1", static_cast<std::uint16_t>(port)});
+        if (!opened)
+            continue;
+        const auto found = (*opened)->local();
+        m_reserved_ports.push_back(std::move(*opened));
+        return found;
+    }
+    return {"127.0.0.1", 0};
 }
 
 machine& lab::add(const std::string& service, const std::string& zone)
@@ -296,6 +310,7 @@
     made->reporter = std::make_shared<reporting_target>(m_worker, id, service);
     made->reporter->set_reported_address(made->app->where());
     made->reporter->set_slots(backend::slots);
+    made->born = wall_clock_ms();
     m_machines.push_back(std::move(made));
     return *m_machines.back();
 }
@@ -395,9 +410,7 @@
 
 unsigned lab::deregister(const machine& at)
 {
-    // All that a backend says of itself tells its start, if it has one.
-    const auto body =
-        at.born == 0 ? "" : "{\"born\":" + std::to_string(at.born) + "}";
+    const auto body = "{\"born\":" + std::to_string(at.born) + "}";
     api_client client(m_worker.io(), at.operators);
     const auto answer =
         client.call("POST", "/instances/" + at.app->id() + "/deregister", body,
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -141,7 +141,7 @@
     address rpc, peer, caller, operators, ready;
     std::shared_ptr<backend> app;
     std::shared_ptr<reporting_target> reporter; ///< sends its reports
-    std::uint64_t born = 0;      ///< start of the backend, if it tells it
+    std::uint64_t born = 0;      ///< Unix milliseconds of the backend's start
     std::uint64_t sequence = 0;  ///< of its last report
     std::string state = "ready"; ///< in its reports
     bool reports = true;         ///< regularly
@@ -235,6 +235,7 @@
     std::shared_ptr<store_standin> m_store;
     std::vector<std::unique_ptr<machine>> m_machines;
     std::vector<std::unique_ptr<listener>> m_reserved_ports;
+    int m_next_port = 0;
     bool m_ended = false;
 };
 
