A connection to a target carries each request id at most once

Cause: the owner sends a refused call again at once, under the same id, and the pool hands out its newest idle connection, which is the one that brought the refusal. A late copy of that refusal is due just there, in the place of the second answer, and carries the same id. Nothing can tell the two apart, so the copy was taken for "not run".

Evidence: the new case of integration-mesh_node sends a late copy of each refusal.

Change: a pooled connection remembers the ids that it has carried, and is not handed out for an id again, also after other requests in between; what comes in is then the answer to the one send of that id. All requests to a target, whichever entry or peer they come from, go through this pool of its owner.

--- a/include/tillerhall/http/stream_pool.hpp
+++ b/include/tillerhall/http/stream_pool.hpp
@@ -1,10 +1,11 @@
 /** @file A pool of idle connections to several addresses. */
 #pragma once
 
-#include "tillerhall/http/stream.hpp"
+#include "tillerhall/http/pooled_stream.hpp"
 
+#include <functional>
 #include <map>
-#include <memory>
+#include <optional>
 #include <vector>
 
 namespace tillerhall
@@ -33,8 +34,11 @@
     }
 
     /** @return an idle stream to @p to, or a new one. */
-    result<std::unique_ptr<tcp_stream>> take(const address& to,
-                                             duration timeout);
+    result<pooled_stream> take(const address& to, duration timeout);
+
+    /** As above; the stream has not carried @p request_id before. */
+    result<pooled_stream>
+    take(const address& to, duration timeout, std::string_view request_id);
 
     /**
      * Opens a new stream to @p to, even if there are idle ones, and keeps it as
@@ -50,7 +54,7 @@
      * may close it
      */
     void give_back(const address& to,
-                   std::unique_ptr<tcp_stream> stream,
+                   pooled_stream stream,
                    duration usable_for = std::chrono::hours(1));
 
     /** @return the number of idle streams to all addresses. */
@@ -66,10 +70,16 @@
     duration m_user_timeout;
     struct idle_stream
     {
-        std::unique_ptr<tcp_stream> stream;
+        pooled_stream stream;
         time_point usable_until;
     };
 
+    /** @return the newest usable idle stream to @p to that @p is_suitable
+     * accepts, if any. */
+    std::optional<pooled_stream>
+    take_idle(const address& to,
+              const std::function<bool(const pooled_stream&)>& is_suitable);
+    result<pooled_stream> open(const address& to, duration timeout);
     void drop_expired(time_point now);
 
     std::map<address, std::vector<idle_stream>> m_idle;
--- a/include/tillerhall/node/owner_proxy.hpp
+++ b/include/tillerhall/node/owner_proxy.hpp
@@ -49,9 +49,8 @@
     /** Refuses a call that was not admitted to a slot. */
     relay_result refuse_admission(admission_decision decision) const;
     /** Sends @p call to the target on @p stream. */
-    relay_result relay(inbound_call& call,
-                       const relay_plan& plan,
-                       std::unique_ptr<tcp_stream> stream);
+    relay_result
+    relay(inbound_call& call, const relay_plan& plan, pooled_stream stream);
     /** Returns true if the target refuses connections. Called after a lost
      * answer, to distinguish a crash from a lost connection. */
     bool has_target_crashed();
--- /dev/null
+++ b/src/http/pooled_stream.cpp
@@ -0,0 +1,34 @@
+#include "tillerhall/http/pooled_stream.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace tillerhall
+{
+namespace
+{
+
+std::size_t hash_of(std::string_view request_id)
+{
+    return std::hash<std::string_view>{}(request_id);
+}
+
+} // namespace
+
+pooled_stream::pooled_stream(std::unique_ptr<tcp_stream> stream)
+    : m_stream(std::move(stream))
+{
+}
+
+bool pooled_stream::may_carry(std::string_view request_id) const
+{
+    return !is_used_up() &&
+           std::ranges::find(m_carried, hash_of(request_id)) == m_carried.end();
+}
+
+void pooled_stream::add_carried(std::string_view request_id)
+{
+    m_carried.push_back(hash_of(request_id));
+}
+
+} // namespace tillerhall
--- a/src/http/stream_pool.cpp
+++ b/src/http/stream_pool.cpp
@@ -35,22 +35,56 @@
     std::erase_if(m_idle, [](const auto& each) { return each.second.empty(); });
 }
 
-result<std::unique_ptr<tcp_stream>> stream_pool::take(const address& to,
-                                                      duration timeout)
+std::optional<pooled_stream> stream_pool::take_idle(
+    const address& to,
+    const std::function<bool(const pooled_stream&)>& is_suitable)
 {
-    auto& idle = m_idle[to];
-    while (!idle.empty())
+    const auto found = m_idle.find(to);
+    if (found == m_idle.end())
+        return std::nullopt;
+    auto& idle = found->second;
+    for (auto i = std::ssize(idle); i-- > 0;)
     {
-        auto last = std::move(idle.back());
-        idle.pop_back();
-        if (steady_clock::now() < last.usable_until &&
-            is_reusable(*last.stream))
-            return std::move(last.stream);
+        const auto at = idle.begin() + i;
+        if (!is_suitable(at->stream))
+            continue;
+        auto newest = std::move(*at);
+        idle.erase(at);
+        if (steady_clock::now() < newest.usable_until &&
+            is_reusable(*newest.stream))
+            return std::move(newest.stream);
     }
+    return std::nullopt;
+}
+
+result<pooled_stream> stream_pool::open(const address& to, duration timeout)
+{
     auto opened = connect_stream(m_io, to, timeout, m_from_ip);
-    if (opened && m_user_timeout > duration::zero())
+    if (!opened)
+        return opened.reason();
+    if (m_user_timeout > duration::zero())
         set_user_timeout(**opened, m_user_timeout);
-    return opened;
+    return pooled_stream(std::move(*opened));
+}
+
+result<pooled_stream> stream_pool::take(const address& to, duration timeout)
+{
+    if (auto idle = take_idle(to, [](const pooled_stream&) { return true; }))
+        return std::move(*idle);
+    return open(to, timeout);
+}
+
+result<pooled_stream> stream_pool::take(const address& to,
+                                        duration timeout,
+                                        std::string_view request_id)
+{
+    auto idle = take_idle(to, [request_id](const pooled_stream& each)
+                          { return each.may_carry(request_id); });
+    auto taken =
+        idle ? result<pooled_stream>(std::move(*idle)) : open(to, timeout);
+    if (taken)
+        taken->add_carried(request_id);
+    return taken;
 }
 
 boost::system::error_code
@@ -67,16 +101,18 @@
             opened = connect_stream(m_io, to, timeout, m_from_ip, failed);
     }
     if (opened)
-        give_back(to, std::move(*opened), usable_for);
+        give_back(to, pooled_stream(std::move(*opened)), usable_for);
     return failed;
 }
 
 void stream_pool::give_back(const address& to,
-                            std::unique_ptr<tcp_stream> stream,
+                            pooled_stream stream,
                             duration usable_for)
 {
     const auto now = steady_clock::now();
     drop_expired(now);
+    if (stream.is_used_up())
+        return;
     auto& idle = m_idle[to];
     stream->expires_never();
     if (idle.size() < m_max_idle)
--- a/src/node/owner_proxy.cpp
+++ b/src/node/owner_proxy.cpp
@@ -170,7 +170,7 @@
 
 relay_result owner_proxy::relay(inbound_call& call,
                                 const relay_plan& plan,
-                                std::unique_ptr<tcp_stream> stream)
+                                pooled_stream stream)
 {
     const crash_registry::run running(m_crash_registry, call);
     auto result = relay_call(call, *stream, plan);
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -742,7 +742,7 @@
                                 const target_report& target,
                                 cancel_scope& scope)
 {
-    auto stream = m_pool.take(target.where, connect_timeout);
+    auto stream = m_pool.take(target.where, connect_timeout, call.request_id);
     if (!stream)
     {
         m_is_up = false;
--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -148,6 +148,7 @@
     m_streams.insert(&stream);
     serve_calls(stream);
     m_streams.erase(&stream);
+    m_late_copies.erase(&stream);
 }
 
 void reporting_target::serve_calls(tcp_stream& stream)
@@ -170,8 +171,22 @@
     return false;
 }
 
+bool reporting_target::send_late_copy(tcp_stream& stream)
+{
+    const auto found = m_late_copies.find(&stream);
+    if (found == m_late_copies.end())
+        return true;
+    const auto text = std::move(found->second);
+    m_late_copies.erase(found);
+    boost::system::error_code failed;
+    boost::asio::async_write(stream, boost::asio::buffer(text), await{failed});
+    return !failed;
+}
+
 bool reporting_target::serve_one(inbound_call& call)
 {
+    if (!send_late_copy(call.stream()))
+        return false;
     if (call.head().target() == health_path)
         return read_rest(call) && send(call, 200, false);
     if (call.head()["X-Expect-Instance"] != m_id)
@@ -243,6 +258,8 @@
             std::max(response.body().size(), m_faults.body_bytes), '.');
     response.prepare_payload();
     auto text = text_of(response);
+    if (consume(m_faults.late_copies))
+        m_late_copies[&call.stream()] = text;
     const bool truncated = consume(m_faults.truncated_answers);
     if (truncated)
         text.resize(text.size() - 3);
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -18,9 +18,10 @@
 /** Injected behaviour. A count applies to so many of the next requests. */
 struct target_faults
 {
-    milliseconds work{2};             ///< duration of one run
-    unsigned duplicate_answers = 0;   ///< sends the response twice
-    unsigned reset_answers = 0;       ///< runs, then resets the connection
+    milliseconds work{2};           ///< duration of one run
+    unsigned duplicate_answers = 0; ///< sends the response twice
+    unsigned late_copies = 0;   ///< sends it again before the connection's next
+    unsigned reset_answers = 0; ///< runs, then resets the connection
     unsigned truncated_answers = 0;   ///< closes in the middle of the body
     unsigned unsealed_answers = 0;    ///< omits the X-Response-Seal header
     unsigned shed = 0;                ///< answers 503 with X-Not-Executed
@@ -113,6 +114,8 @@
     void serve(tcp_stream& stream);
     void serve_calls(tcp_stream& stream);
     bool serve_one(inbound_call& call);
+    /** Sends the late copy that is due on @p stream, if any. */
+    bool send_late_copy(tcp_stream& stream);
     /** @return false once the peer has closed @p stream. */
     bool wait_for_close(tcp_stream& stream) const;
     bool send(inbound_call& call, unsigned status, bool not_run);
@@ -136,7 +139,8 @@
     std::vector<target_run> m_runs;
     std::vector<target_arrival> m_arrivals;
     std::uint64_t m_sequence = 0;
-    std::set<tcp_stream*> m_streams; ///< open connections
+    std::set<tcp_stream*> m_streams;                  ///< open connections
+    std::map<tcp_stream*, std::string> m_late_copies; ///< not yet sent
     std::vector<std::unique_ptr<listener>> m_closed_listeners;
     unsigned m_crash_count = 0;
     bool m_has_crashed = false;
--- a/tests/integration/mesh_node.cpp
+++ b/tests/integration/mesh_node.cpp
@@ -388,6 +388,37 @@
         });
 }
 
+// Guards against a late copy of a refusal that is taken for the answer to the
+// repeat: the call then runs at a second target, or is refused although it
+// runs.
+TEST_CASE("a late copy of a refusal does not answer the repeat of its call")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            auto& from = system.hosts()[0];
+            for (int i = 0; i < 6; ++i)
+            {
+                // The retry budget grows by a tenth of a call.
+                for (int j = 0; j < 12; ++j)
+                    CHECK(system.call(from, "plain", "/sales/x", "b").status ==
+                          200);
+                for (const std::size_t beurs : {1U, 3U})
+                {
+                    auto& faults = system.hosts()[beurs].target->faults();
+                    faults.shed = 1;
+                    faults.late_copies = 1;
+                }
+                const auto id = "late-" + std::to_string(i);
+                CHECK(system.call(from, id, "/sales/x", "b").status == 200);
+                CHECK(system.runs_of(id) == 1);
+                for (const std::size_t beurs : {1U, 3U})
+                    system.hosts()[beurs].target->faults() = {};
+            }
+        });
+}
+
 // Guards against sends to a target that leaves, and against a target whose low
 // load attracts calls because it refuses them all.
 TEST_CASE("a target that leaves or refuses every call gets no repeats")
--- a/tests/integration/stream_pool.cpp
+++ b/tests/integration/stream_pool.cpp
@@ -63,6 +63,43 @@
         });
 }
 
+TEST_CASE("a connection carries a request id once, also after other requests")
+{
+    // Guards against a late copy of a response that answers a later send of the
+    // same request.
+    on_worker(
+        [](worker& on)
+        {
+            // Never destroyed: its fibers outlive the test.
+            auto& owners = *new silent_owners(on, 1);
+            const auto to = owners.listeners.front()->local();
+            stream_pool pool(on.io(), 4, "127.0.0.1");
+            const auto use = [&](const std::string& id)
+            {
+                auto stream = pool.take(to, connect_timeout, id);
+                REQUIRE(stream);
+                pool.give_back(to, std::move(*stream));
+            };
+            use("a");
+            use("b");
+            CHECK(pool.idle_count() == 1);
+            use("a");
+            CHECK(pool.idle_count() == 2);
+            // The id is not forgotten after so many requests; then the
+            // connection is closed.
+            stream_pool other(on.io(), 4, "127.0.0.1");
+            for (std::size_t i = 0; i < pooled_stream::max_requests; ++i)
+            {
+                auto stream =
+                    other.take(to, connect_timeout, "r" + std::to_string(i));
+                REQUIRE(stream);
+                CHECK_FALSE(stream->may_carry("r0"));
+                other.give_back(to, std::move(*stream));
+            }
+            CHECK(other.idle_count() == 0);
+        });
+}
+
 TEST_CASE("a probe recognizes a process that closes its listener last")
 {
     // Guards against crashes of targets that are not counted: an exiting
