A late copy of a response does not answer a health check

What callers saw: a running unsafe call was given up and answered 502, while its target went on with it.

Cause: a health check accepted any response. On a pooled connection a late copy of a call's response took its place, and the load in it, of another moment, was believed. Two such copies that report an idle target prove that a running call is missing.

Change: a response with a request id belongs to a call and is skipped.

--- a/include/tillerhall/http/exchange.hpp
+++ b/include/tillerhall/http/exchange.hpp
@@ -30,7 +30,9 @@
 {
     time_point deadline;
     std::string id_field; ///< response field that must hold `id`
-    std::string id;       ///< value of `id_field`; other responses are skipped
+    /** Value of `id_field`; responses with another one are skipped. If empty,
+     * only a response without the field, or with an empty one, is accepted. */
+    std::string id;
     exchange_observer* observer = nullptr; ///< may be null
     /** Marks a response after which the peer runs no request of the
      * connection that it has not answered; empty if it sends none. */
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -33,6 +33,9 @@
 // tell the load.
 constexpr milliseconds check_interval(100);
 constexpr milliseconds check_timeout(300);
+// All health checks have this id for `stream_pool::take`, so that a late copy
+// of a check's response is not taken for that of another.
+constexpr std::string_view health_check_id = "health check";
 constexpr std::int64_t max_queued_calls = 512;
 constexpr std::chrono::seconds max_wait(60);
 // Reason for refusing a call while the failure domain is drained.
@@ -174,15 +177,16 @@
         return;
     m_checks_target = true;
     const target_report target(*used);
-    if (auto stream = m_pool.take(target.where, connect_timeout);
+    if (auto stream =
+            m_pool.take(target.where, connect_timeout, health_check_id);
         stream && !m_targets.has_departed(target.start()))
     {
         whole_request request(http::verb::get, path, 11);
         request.set(http::field::host, target.where.text());
         cancel_scope scope;
-        // Any response is the right one, with or without a request id.
+        // A response with a request id is a late one to a call.
         const auto sent = steady_clock::now();
-        const exchange_plan plan{sent + check_timeout, hop_field::query, ""};
+        const exchange_plan plan{sent + check_timeout, m_names.request_id, ""};
         const auto result = exchange(**stream, request, plan, scope);
         m_check_failed = !result.response;
         if (result.response)
--- a/tests/integration/target_loads.cpp
+++ b/tests/integration/target_loads.cpp
@@ -197,6 +197,30 @@
         });
 }
 
+// Guards against a running call that is given up, because a late copy of an
+// earlier response, which reports an idle target, answers a health check.
+TEST_CASE("a late copy of a response does not answer a health check")
+{
+    on_worker(
+        [](worker& on)
+        {
+            one_target system(on);
+            auto& from = system.hosts()[1];
+            auto& faults = system.target().faults();
+            faults.work = milliseconds(20);
+            for (int i = 0; i < 20; ++i)
+                system.call(from, "l-" + std::to_string(i), "/fields/x");
+            faults.late_copies = 12;
+            // One id is sent on as many connections.
+            for (unsigned i = 0; i < 12; ++i)
+                system.call(from, "copied", "/fields/x");
+            faults.late_copies = 0;
+            faults.work = milliseconds(1'500);
+            CHECK(system.call(from, "long", "/once/x").status == 200);
+            CHECK(system.runs_of("long") == 1);
+        });
+}
+
 TEST_CASE("a call is not given up while answers of others are under way")
 {
     on_worker(
