After a restart a target is used only if it says that it is healthy

Cause: while the store is down a departure is acknowledged once two peers have the record, in memory. When all nodes are killed, no record is left. After the restart one report that was sent before the departure, and comes late, puts the target into use.

Each disruption alone breaks nothing, so it takes the lost record and the late report together.

Change, in the two places where something was inferred from too little: - For 10 s after its start, the longest delay of a report, a node uses no target on the word of a report alone. It checks the target's health; 200 from this target confirms the report. A target answers 503 from its departure on. Reports that come later were sent since the start and need no confirmation, so a target whose health checks fail though it serves comes into use then. - Peers are enough for an acknowledgement only if the service has a health path, that is, if the next boot can check. Without one the store must have the record.

Weighed: only the store acknowledges.

Unit: a property over delays, departures and restarts that lose the records. Two cases of integration-mesh_node expect an acknowledgement in an outage: their services now have a health path, as all on the platform do; their checks are unchanged. The stand-in answers health checks with 503 once it has said that it leaves.

--- a/include/tillerhall/control/report_controller.hpp
+++ b/include/tillerhall/control/report_controller.hpp
@@ -10,8 +10,11 @@
 /**
  * Applies reports to the target registry and announces the result to the other
  * nodes. The departure of a target is acknowledged only when the next boot of
- * this node will find it: in the store or, if that does not answer, at two
- * peers. Runs on the first worker.
+ * this node will not use the target: the record is in the store or, if that
+ * does not answer, at two peers. Peers keep it in memory and can all fail with
+ * this node, so they are enough only for a target whose health can be checked:
+ * for a while after its start a node uses no target that does not say it is
+ * healthy. Runs on the first worker.
  */
 class report_controller
 {
@@ -43,6 +46,14 @@
 
 private:
     void apply_departures();
+    /** Announces the target that has come into use. */
+    void target_changed();
+    void start_confirming(const target_report& report);
+    /** Checks the health of the target whose report awaits confirmation, until
+     * it is confirmed or its later reports need none. */
+    void confirm_target();
+    /** @return whether @p target takes work now, by more than its report. */
+    bool is_confirmed(const target_report& target);
     void announce();
     bool persist_departure();
     void replicate_to_peers(const std::shared_ptr<unsigned>& copies);
@@ -52,6 +63,7 @@
     directory_controller& m_directory;
     target_registry& m_targets;
     target_owner& m_owner;
+    bool m_is_confirming = false;
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -104,6 +104,13 @@
     /** Answers a call or a load query of another node. */
     whole_response answer_peer(received_request& request, cancel_scope& scope);
 
+    /** @return whether the path of the target's health is known. */
+    bool can_check_health() const;
+
+    /** Makes a health check. @return whether @p target says that it is healthy
+     * and is not going to stop. */
+    bool is_healthy(const target_report& target);
+
     /** Updates the state of the target after its report has changed. */
     void target_changed();
 
@@ -274,6 +281,8 @@
     void follow_loads();
     /** Asks the target for its health, since the response reports its load. */
     void check_target();
+    /** @return the response to a health check; nothing if there is none. */
+    std::optional<whole_response> check_health(const target_report& target);
     /** @return the slots that calls may use, of @p slots. */
     std::int64_t usable_slots(std::int64_t slots) const;
     /** @return the load of the slots of @p target, with foreign runs. */
--- a/include/tillerhall/proxy/wire_names.hpp
+++ b/include/tillerhall/proxy/wire_names.hpp
@@ -21,6 +21,8 @@
     /** Id of the target start that the call is for; any other start responds
      * with 421. */
     std::string expected_target = "Tillerhall-Expect-Target";
+    /** Id of a target, in its responses to health checks. */
+    std::string target_id = "Tillerhall-Target-Id";
     /** Present if a target refused a call without running it. */
     std::string not_run = "X-Not-Run";
     /** Field by which a target confirms a success; empty if none is used. */
--- a/include/tillerhall/targets/target_registry.hpp
+++ b/include/tillerhall/targets/target_registry.hpp
@@ -15,11 +15,12 @@
 /** Effect of a report. */
 enum class report_result
 {
-    unchanged, ///< nothing new
-    opened,    ///< a target takes work that did not before
-    changed,   ///< other properties of the target in use
-    closed,    ///< the target in use takes no more work
-    stale      ///< an older report, or one of a target that has left
+    unchanged,  ///< nothing new
+    opened,     ///< a target takes work that did not before
+    changed,    ///< other properties of the target in use
+    closed,     ///< the target in use takes no more work
+    stale,      ///< an older report, or one of a target that has left
+    unconfirmed ///< the target takes work once it is confirmed
 };
 
 std::string_view name_of(report_result result) noexcept;
@@ -34,7 +35,11 @@
  * older one takes over again only with a report of a greater sequence. No
  * target is in use before `set_departures_known` is called: after a restart the
  * node must not trust a report that may be older than a departure which its
- * earlier boot acknowledged. Does no I/O.
+ * earlier boot acknowledged.
+ *
+ * The record of such a departure can be lost, with the nodes that held it while
+ * the store was down. After a restart a report may therefore have to be
+ * confirmed: see `require_confirmation`. Does no I/O.
  */
 class target_registry
 {
@@ -44,6 +49,33 @@
      * in transit.
      */
     static constexpr std::size_t max_departures = 8;
+    /** A report arrives within this time after it was sent. */
+    static constexpr std::chrono::seconds max_report_delay{10};
+
+    /**
+     * To be called at the start of a node that may have run before. A report
+     * that arrives within `max_report_delay` after @p started may be older than
+     * a departure which an earlier boot acknowledged. Its target is not in use
+     * before `confirm`, or before a report that arrives later.
+     */
+    void require_confirmation(time_point started) noexcept
+    {
+        m_confirm_until = started + max_report_delay;
+    }
+
+    /** @return the target whose report awaits confirmation, or null. */
+    const target_report* unconfirmed(time_point now) const noexcept
+    {
+        return m_unconfirmed && now < m_confirm_until ? &*m_unconfirmed
+                                                      : nullptr;
+    }
+
+    /**
+     * Confirms that @p start takes work, by evidence that is newer than the
+     * start of this node.
+     * @return the effect of its report, `stale` if none awaits confirmation.
+     */
+    report_result confirm(const std::string& start, time_point now);
 
     report_result take(const target_report& report, time_point now);
 
@@ -71,8 +103,8 @@
     const target_report* in_use() const noexcept;
 
     /**
-     * @return the target of the last ready report, whether it is in use or not;
-     * null if there is none.
+     * @return the target of the last ready report that needs no confirmation,
+     * whether it is in use or not; null if there is none.
      */
     const target_report* newest() const noexcept;
 
@@ -91,12 +123,19 @@
 
 private:
     report_result take_leaving(const target_report& report);
+    /** @return the starts that @p report, which names none, can mean. */
+    std::vector<std::string> known_starts_of(const target_report& report) const;
+    report_result use(const target_report& report, time_point now);
+    bool needs_confirmation(const std::string& start, time_point now) const;
     /** @return true if a later start under the same id is in use. */
     bool is_outdated(const target_report& report, time_point now) const;
 
     std::map<std::string, std::uint64_t> m_sequences; ///< by start
     std::vector<std::string> m_departed;
     std::optional<target_report> m_current;
+    std::optional<target_report> m_unconfirmed;
+    std::vector<std::string> m_confirmed; ///< starts, since `m_confirm_until`
+    time_point m_confirm_until{};
     time_point
         m_last_report_at{}; ///< time of the last report of the target in use
     time_point m_cold_until{};
--- a/src/control/report_controller.cpp
+++ b/src/control/report_controller.cpp
@@ -1,6 +1,9 @@
 #include "tillerhall/control/report_controller.hpp"
 
+#include "tillerhall/core/backoff.hpp"
+
 #include <algorithm>
+#include <utility>
 
 namespace tillerhall
 {
@@ -13,6 +16,9 @@
 constexpr milliseconds store_only_for(250);
 constexpr milliseconds persist_poll(4);
 constexpr unsigned peers_needed = 2;
+// Waits between the health checks of a target that awaits confirmation.
+constexpr milliseconds min_check_wait(50);
+constexpr milliseconds max_check_wait(1'000);
 constexpr std::size_t peers_asked = 5;
 
 target_state state_of(const target_registry& targets, bool is_up)
@@ -47,10 +53,47 @@
 {
     apply_departures();
     m_targets.set_departures_known();
+    target_changed();
+}
+
+void report_controller::target_changed()
+{
     m_owner.target_changed();
     announce();
 }
 
+void report_controller::start_confirming(const target_report& report)
+{
+    if (std::exchange(m_is_confirming, true))
+        return;
+    m_mesh.board.decisions.note("target_unconfirmed", report.start(),
+                                "its report may be older than its departure");
+    m_mesh.on.spawn([this] { confirm_target(); });
+}
+
+void report_controller::confirm_target()
+{
+    backoff waits(min_check_wait, max_check_wait);
+    while (const auto* waiting = m_targets.unconfirmed(steady_clock::now()))
+    {
+        const target_report target(*waiting);
+        if (is_confirmed(target) &&
+            m_targets.confirm(target.start(), steady_clock::now()) !=
+                report_result::stale)
+            target_changed();
+        else
+            sleep_for(m_mesh.on.io(), waits.next(m_mesh.random));
+    }
+    m_is_confirming = false;
+}
+
+bool report_controller::is_confirmed(const target_report& target)
+{
+    if (m_mesh.board.call_map.get()->version() == 0)
+        return false; // the path of its health is not known yet
+    return !m_owner.can_check_health() || m_owner.is_healthy(target);
+}
+
 void report_controller::announce()
 {
     auto self = m_mesh.members.self();
@@ -96,6 +139,8 @@
              {"left", m_targets.has_departed(report.start())}});
         return true;
     }
+    if (result == report_result::unconfirmed)
+        start_confirming(report);
     if (report.state == report_state::ready)
         m_owner.target_changed();
     announce();
@@ -121,7 +166,9 @@
     bool asked = false;
     while (steady_clock::now() < begin + persist_limit)
     {
-        if (m_directory.own_record_stored() || *copies >= peers_needed)
+        const bool kept_by_peers =
+            *copies >= peers_needed && m_owner.can_check_health();
+        if (m_directory.own_record_stored() || kept_by_peers)
             return true;
         if (!asked && steady_clock::now() >= begin + store_only_for)
         {
@@ -132,7 +179,7 @@
     }
     m_mesh.board.decisions.note(
         "leaving_not_kept", m_mesh.members.self().rpc.text(),
-        "neither the store nor two peers answered", {{"peers", *copies}});
+        "not in the store, nor with enough peers", {{"peers", *copies}});
     return false;
 }
 
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -144,6 +144,7 @@
         owner->set_load_reader(adapter.read_load);
         owner->set_link(outgoing, config.link_mbps);
         owner->limit_dependent_runs(config.limit_dependent_runs != 0);
+        targets.require_confirmation(steady_clock::now());
         mesh->routes_changed = [this](const route_view&) { publish_members(); };
         compose_sessions();
     }
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -163,13 +163,48 @@
     update_slots();
 }
 
+std::optional<whole_response>
+target_owner::check_health(const target_report& target)
+{
+    auto stream = m_pool.take(target.where, connect_timeout, health_check_id);
+    if (!stream || m_targets.has_departed(target.start()))
+        return std::nullopt;
+    whole_request request(
+        http::verb::get,
+        m_board.call_map.get()->terms_of(m_service).health_path, 11);
+    request.set(http::field::host, target.where.text());
+    cancel_scope scope;
+    // A response with a request id is a late one to a call.
+    const exchange_plan plan{steady_clock::now() + check_timeout,
+                             m_names.request_id, ""};
+    auto result = exchange(**stream, request, plan, scope);
+    if (result.reusable)
+        m_pool.give_back(target.where, std::move(*stream),
+                         duration(default_idle_timeout) - idle_margin);
+    return std::move(result.response);
+}
+
+bool target_owner::can_check_health() const
+{
+    return !m_board.call_map.get()->terms_of(m_service).health_path.empty();
+}
+
+bool target_owner::is_healthy(const target_report& target)
+{
+    const auto response = check_health(target);
+    if (!response || response->result() != http::status::ok)
+        return false;
+    // Another target may have been started at the address.
+    const std::string_view id = (*response)[m_names.target_id];
+    return id.empty() || id == target.id;
+}
+
 void target_owner::check_target()
 {
     const auto now = steady_clock::now();
     const auto* used = m_targets.in_use();
-    const auto path = m_board.call_map.get()->terms_of(m_service).health_path;
     // A target that limits its requests may count health checks.
-    if (used == nullptr || path.empty() || now < m_next_check ||
+    if (used == nullptr || !can_check_health() || now < m_next_check ||
         m_notices.rate_limit() ||
         (!m_loads.foreign().awaits_response(now) &&
          m_loads.foreign().count(now) < used->slots &&
@@ -177,25 +212,11 @@
         return;
     m_checks_target = true;
     const target_report target(*used);
-    if (auto stream =
-            m_pool.take(target.where, connect_timeout, health_check_id);
-        stream && !m_targets.has_departed(target.start()))
-    {
-        whole_request request(http::verb::get, path, 11);
-        request.set(http::field::host, target.where.text());
-        cancel_scope scope;
-        // A response with a request id is a late one to a call.
-        const auto sent = steady_clock::now();
-        const exchange_plan plan{sent + check_timeout, m_names.request_id, ""};
-        const auto result = exchange(**stream, request, plan, scope);
-        m_check_failed = !result.response;
-        if (result.response)
-            m_loads.take(target.start(), *result.response, false, sent,
-                         steady_clock::now());
-        if (result.reusable)
-            m_pool.give_back(target.where, std::move(*stream),
-                             duration(default_idle_timeout) - idle_margin);
-    }
+    const auto response = check_health(target);
+    m_check_failed = !response;
+    if (response)
+        m_loads.take(target.start(), *response, false, now,
+                     steady_clock::now());
     // A call that may be missing waits for proof.
     m_next_check =
         steady_clock::now() +
--- a/src/targets/target_registry.cpp
+++ b/src/targets/target_registry.cpp
@@ -7,8 +7,8 @@
 {
 namespace
 {
-constexpr std::array<std::string_view, 5> result_names{
-    "unchanged", "opened", "changed", "closed", "stale"};
+constexpr std::array<std::string_view, 6> result_names{
+    "unchanged", "opened", "changed", "closed", "stale", "unconfirmed"};
 // Targets report every one or two seconds; one without a report for longer
 // counts as gone.
 constexpr std::chrono::seconds report_timeout(5);
@@ -34,21 +34,37 @@
     const bool was_used = in_use() != nullptr && is_current;
     if (is_current)
         m_current.reset();
+    if (m_unconfirmed && m_unconfirmed->start() == start)
+        m_unconfirmed.reset();
     return was_used;
 }
 
+std::vector<std::string>
+target_registry::known_starts_of(const target_report& report) const
+{
+    std::vector<std::string> starts;
+    for (const auto* known : {&m_current, &m_unconfirmed})
+        if (*known && (*known)->id == report.id)
+            starts.push_back((*known)->start());
+    return starts;
+}
+
 report_result target_registry::take_leaving(const target_report& report)
 {
     // A departure that does not identify its start means the current one.
-    const bool has_no_start =
-        report.started_ms == 0 && m_current && m_current->id == report.id;
-    const auto start = has_no_start ? m_current->start() : report.start();
-    auto& sequence = m_sequences[start];
-    sequence = std::max(sequence, report.sequence);
-    const bool known = has_departed(start);
-    if (record_departure(start))
-        return report_result::closed;
-    return known ? report_result::unchanged : report_result::closed;
+    auto starts = report.started_ms == 0 ? known_starts_of(report)
+                                         : std::vector<std::string>();
+    if (starts.empty())
+        starts.push_back(report.start());
+    bool is_new = false;
+    for (const auto& start : starts)
+    {
+        auto& sequence = m_sequences[start];
+        sequence = std::max(sequence, report.sequence);
+        is_new = !has_departed(start) || is_new;
+        is_new = record_departure(start) || is_new;
+    }
+    return is_new ? report_result::closed : report_result::unchanged;
 }
 
 bool target_registry::is_outdated(const target_report& report,
@@ -72,8 +88,34 @@
         (seen != m_sequences.end() && report.sequence <= seen->second))
         return report_result::stale;
     m_sequences[start] = report.sequence;
+    if (needs_confirmation(start, now))
+    {
+        m_unconfirmed = report;
+        return report_result::unconfirmed;
+    }
+    return use(report, now);
+}
+
+bool target_registry::needs_confirmation(const std::string& start,
+                                         time_point now) const
+{
+    return now < m_confirm_until &&
+           std::ranges::find(m_confirmed, start) == m_confirmed.end();
+}
+
+report_result target_registry::confirm(const std::string& start, time_point now)
+{
+    if (!m_unconfirmed || m_unconfirmed->start() != start)
+        return report_result::stale;
+    m_confirmed.push_back(start);
+    return use(target_report(*m_unconfirmed), now);
+}
+
+report_result target_registry::use(const target_report& report, time_point now)
+{
+    m_unconfirmed.reset();
     const bool was_open = in_use() != nullptr;
-    const bool same = m_current && m_current->start() == start &&
+    const bool same = m_current && m_current->start() == report.start() &&
                       m_current->where == report.where &&
                       m_current->slots == report.slots &&
                       m_current->release == report.release;
--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -93,6 +93,7 @@
 {
     m_id = std::move(id);
     m_sequence = 0;
+    m_is_leaving = false;
     if (!std::exchange(m_has_crashed, false))
         return;
     m_listener = std::move(*listener::open(m_worker, m_where));
@@ -121,6 +122,7 @@
 {
     if (m_has_crashed)
         return 0;
+    m_is_leaving = m_is_leaving || state == "draining";
     boost::json::object body{
         {"service", m_service}, {"address", m_reported_at.text()},
         {"zone", "d1"},         {"version", m_release},
@@ -137,6 +139,7 @@
 
 unsigned reporting_target::leave(const address& to)
 {
+    m_is_leaving = true;
     api_client client(m_worker.io(), to);
     const auto answer = client.call(
         "POST", "/instances/" + m_id + "/deregister", "", report_timeout);
@@ -188,7 +191,7 @@
     if (!send_late_copy(call.stream()))
         return false;
     if (call.head().target() == health_path)
-        return read_rest(call) && send(call, 200, false);
+        return read_rest(call) && send(call, m_is_leaving ? 503 : 200, false);
     if (call.head()["X-Expect-Instance"] != m_id)
         return read_rest(call) && send(call, 421, true);
     m_arrivals.push_back(
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -100,7 +100,9 @@
     unsigned crash_count() const noexcept { return m_crash_count; }
     bool has_crashed() const noexcept { return m_has_crashed; }
 
-    /** Reports "ready" or "draining". @return HTTP status, 0 if unanswered. */
+    /** Reports "ready" or "draining"; health checks are answered 503 from a
+     * "draining" on, and after `leave`. @return HTTP status, 0 if unanswered.
+     */
     unsigned report(const address& to, const std::string& state);
 
     /** As above, with a given sequence number. */
@@ -144,6 +146,7 @@
     std::vector<std::unique_ptr<listener>> m_closed_listeners;
     unsigned m_crash_count = 0;
     bool m_has_crashed = false;
+    bool m_is_leaving = false; ///< it has said so in a report
 };
 
 } // namespace tillerhall
--- a/tests/integration/mesh_node.cpp
+++ b/tests/integration/mesh_node.cpp
@@ -14,10 +14,10 @@
 /** Two services with two targets each. */
 struct four_hosts : mesh_system
 {
-    explicit four_hosts(worker& on)
+    explicit four_hosts(worker& on, const std::string& health_path = {})
         : mesh_system(on, {"perceel", "beurs", "perceel", "beurs"})
     {
-        configure(1, two_routes);
+        configure(1, two_routes, health_path);
         start();
         for (auto& from : hosts())
             REQUIRE(wait_until(
@@ -174,7 +174,7 @@
     on_worker(
         [](worker& on)
         {
-            four_hosts system(on);
+            four_hosts system(on, "/health");
             auto& host = system.hosts()[0];
             system.store().faults().down = true;
             CHECK(host.target->report(host.at["operators"], "draining") == 200);
@@ -593,7 +593,7 @@
     on_worker(
         [](worker& on)
         {
-            four_hosts system(on);
+            four_hosts system(on, "/health");
             system.store().faults().lose_answers = 3;
             auto& host = system.hosts()[2];
             CHECK(host.target->report(host.at["operators"], "draining") == 200);
--- a/tests/unit/target_registry.cpp
+++ b/tests/unit/target_registry.cpp
@@ -75,6 +75,112 @@
         });
 }
 
+TEST_CASE("a target that left is not used after a restart that lost its record")
+{
+    // Guards against trust in a single report, which may be seconds old.
+    rc::prop(
+        "for any delays of reports, departures and restarts",
+        []
+        {
+            struct sent_report
+            {
+                target_report report;
+                time_point arrives;
+            };
+            constexpr auto longest =
+                duration(target_registry::max_report_delay) - milliseconds(1);
+            target_registry targets;
+            targets.set_departures_known();
+            std::set<std::string> departed;
+            std::vector<sent_report> under_way;
+            std::uint64_t sequence = 0;
+            time_point now{std::chrono::hours(1)};
+            const auto steps = *rc::gen::inRange(1, 60);
+            for (int i = 0; i < steps; ++i)
+            {
+                now += milliseconds(*rc::gen::inRange(0, 6'000));
+                const auto id = "t" + std::to_string(*rc::gen::inRange(0, 3));
+                const bool has_departed = departed.contains(id);
+                switch (*rc::gen::inRange(0, 5))
+                {
+                case 0:
+                    targets.take(
+                        report_of(id, report_state::leaving, ++sequence), now);
+                    departed.insert(id);
+                    break;
+                case 1: // all nodes that kept the departures are killed
+                    targets = target_registry();
+                    targets.require_confirmation(now);
+                    targets.set_departures_known();
+                    break;
+                case 2: // a health check
+                    if (const auto* waiting = targets.unconfirmed(now);
+                        waiting != nullptr && !departed.contains(waiting->id))
+                        targets.confirm(waiting->start(), now);
+                    break;
+                default:
+                    if (!has_departed)
+                        under_way.push_back(
+                            {report_of(id, report_state::ready, ++sequence),
+                             now + longest * *rc::gen::inRange(0, 101) / 100});
+                }
+                for (const auto& each : under_way)
+                    if (each.arrives <= now)
+                        targets.take(each.report, each.arrives);
+                std::erase_if(under_way, [now](const sent_report& each)
+                              { return each.arrives <= now; });
+                const auto* used = targets.in_use();
+                const bool kept =
+                    used == nullptr || !departed.contains(used->id);
+                RC_ASSERT(kept);
+            }
+        });
+}
+
+TEST_CASE("after a restart a target is used once its report is confirmed")
+{
+    target_registry targets;
+    const time_point start{std::chrono::hours(1)};
+    const auto soon = start + milliseconds(500);
+    targets.require_confirmation(start);
+    targets.set_departures_known();
+    using enum report_state;
+    CHECK(targets.take(report_of("a", ready, 1), soon) ==
+          report_result::unconfirmed);
+    CHECK(targets.in_use() == nullptr);
+    REQUIRE(targets.unconfirmed(soon) != nullptr);
+    CHECK(targets.confirm("b", soon) == report_result::stale);
+    CHECK(targets.confirm("a", soon) == report_result::opened);
+    REQUIRE(targets.in_use() != nullptr);
+    CHECK(targets.unconfirmed(soon) == nullptr);
+    CHECK(targets.take(report_of("a", ready, 2), soon) ==
+          report_result::unchanged);
+    // A late report of another start does not replace it.
+    CHECK(targets.take(report_of("old", ready, 9), soon) ==
+          report_result::unconfirmed);
+    CHECK(targets.in_use()->id == "a");
+    CHECK(targets.take(report_of("old", leaving, 10), soon) ==
+          report_result::closed);
+    CHECK(targets.unconfirmed(soon) == nullptr);
+    CHECK(targets.confirm("old", soon) == report_result::stale);
+    CHECK(targets.in_use()->id == "a");
+}
+
+TEST_CASE("a report that arrives late enough after a restart needs no "
+          "confirmation")
+{
+    // Guards against targets without a working health check that stay unused.
+    target_registry targets;
+    const time_point start{std::chrono::hours(1)};
+    const auto later = start + target_registry::max_report_delay;
+    targets.require_confirmation(start);
+    targets.set_departures_known();
+    targets.take(report_of("a", report_state::ready, 1), start);
+    CHECK(targets.unconfirmed(later) == nullptr);
+    CHECK(targets.take(report_of("a", report_state::ready, 2), later) ==
+          report_result::opened);
+}
+
 TEST_CASE("no target is in use before the departure records are read")
 {
     target_registry targets;
