Responses without an end are given up before they fill the memory

What callers saw: with a target that sends bytes without an end in the place of its responses, a node held up to 379 MB, answers came seconds after the route's timeout, and calls of other services failed. A node with 256 MB would have been killed for it.

Cause: the exchange read up to 64 MiB of a body into memory, for each call at once, also that of a response to another request, and chunk extensions and interim responses without any bound.

Change: - A budget bounds the bodies that a node receives at the same time, at half of the new setting node.memory_limit_mb. A body of known length takes its length before it is read; one of unknown length may take half of what is free, 8 MiB at most. - A response to another request is judged by its head, and its body is discarded piece by piece: 1 MiB at most if its length is unknown, none if only the close ends it. - 16 interim responses at most; 128 KiB at most that are read and not parsed. - What does not fit ends the exchange at once, with an unknown outcome: the connection is closed, the call is not refused and an unsafe one is not sent again.

--- a/include/tillerhall/http/exchange.hpp
+++ b/include/tillerhall/http/exchange.hpp
@@ -11,6 +11,7 @@
 namespace tillerhall
 {
 
+class body_budget;
 class exchange_observer;
 
 /** How an exchange ended. */
@@ -37,6 +38,9 @@
     /** Marks a response after which the peer runs no request of the
      * connection that it has not answered; empty if it sends none. */
     std::string goaway_field{};
+    /** Memory for the response's body while it is received; may be null. A
+     * response that does not fit is given up, with the end `unknown`. */
+    body_budget* bodies = nullptr;
 };
 
 struct exchange_result
--- a/include/tillerhall/node/settings.hpp
+++ b/include/tillerhall/node/settings.hpp
@@ -35,7 +35,8 @@
     double retry_ratio = 0.2; ///< retries per call, of all nodes
     double retry_extra = 10;  ///< retries in a window beyond that, of all nodes
     double retry_window_s = 10;
-    double link_mbps = 0; ///< of this host's link; 0 if unknown
+    double link_mbps = 0;               ///< of this host's link; 0 if unknown
+    std::int64_t memory_limit_mb = 256; ///< of this process
 
     std::string service;
     address target;
--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -59,6 +59,9 @@
         m_choice.set_capacity(capacity);
     }
 
+    /** Sets the memory for bodies of responses. */
+    void set_body_budget(body_budget& bodies) noexcept { m_bodies = &bodies; }
+
     /** Routes one call of a client and returns the response to it. */
     whole_response answer(received_request& request, cancel_scope& scope);
 
@@ -240,6 +243,7 @@
     constraint_memory m_constraints;
     recent_runs m_recent_good_calls;
     stream_pool m_pool;
+    body_budget* m_bodies = nullptr;
     share_sequence m_shares;
     objectives_in_use m_objectives;
     deadline_budgets m_deadline_budgets;
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tillerhall/core/worker.hpp"
+#include "tillerhall/http/body_budget.hpp"
 #include "tillerhall/http/byte_backlog.hpp"
 #include "tillerhall/http/exchange.hpp"
 #include "tillerhall/http/link_scheduler.hpp"
@@ -77,6 +78,9 @@
         m_transfer_slots = transfer_slots(mbps);
     }
 
+    /** Sets the memory for bodies of responses. */
+    void set_body_budget(body_budget& bodies) noexcept { m_bodies = &bodies; }
+
     /** Sets the function that reads the loads which the target reports. */
     void set_load_reader(target_loads::reader read)
     {
@@ -353,6 +357,7 @@
     answer_sizes m_answer_sizes;
     byte_backlog m_reserved_answers; ///< of the active runs
     const link_scheduler* m_link = nullptr;
+    body_budget* m_bodies = nullptr;
     transfer_slots m_transfer_slots{0};
     bool m_is_up = true;
     bool m_queue_stands = false; ///< as logged
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,6 +1,7 @@
 #include "tillerhall/http/exchange.hpp"
 #include "tillerhall/core/await.hpp"
 #include "tillerhall/core/worker.hpp"
+#include "tillerhall/http/body_budget.hpp"
 #include "tillerhall/http/exchange_observer.hpp"
 
 #include <array>
@@ -15,17 +16,30 @@
 {
 
 namespace http = boost::beast::http;
+/** Reads a head, and a body piece by piece. */
+using head_parser = http::response_parser<http::buffer_body>;
+/** Reads a whole response. */
 using response_parser = http::response_parser<http::string_body>;
 
 constexpr std::array<std::string_view, 5> end_names{
     "answered", "not_sent", "unknown", "timed_out", "cancelled"};
 constexpr std::uint32_t max_response_head_bytes = 32 * 1024;
 constexpr std::uint64_t max_response_body_bytes = 64 * 1024 * 1024;
+// Limit of a body of unknown length, which may have no end: reading it takes
+// processor time from other calls.
+constexpr std::uint64_t max_unframed_body_bytes = 8 * 1024 * 1024;
 // A body up to this size fits into a socket's default send buffer, so that
 // writing it does not wait for the peer to read.
 constexpr std::size_t inline_body_bytes = 8 * 1024;
 // Late responses to earlier requests are skipped; more mean a faulty sender.
 constexpr unsigned max_skipped = 4;
+// Limit of such a response's body if its length is unknown.
+constexpr std::uint64_t max_skipped_body_bytes = 1024 * 1024;
+constexpr unsigned max_interim = 16;
+// Holds the largest head and one read of a body.
+constexpr std::size_t max_buffer_bytes = 128 * 1024;
+constexpr const char* not_whole = "no whole response came";
+constexpr const char* does_not_fit = "the response does not fit into memory";
 
 /** The state and the steps of one exchange. */
 class exchange_run
@@ -76,40 +90,90 @@
 
     void read()
     {
-        while (true)
+        for (unsigned interim = 0; interim <= max_interim;)
         {
-            response_parser parser;
+            head_parser parser;
             parser.header_limit(max_response_head_bytes);
             parser.body_limit(max_response_body_bytes);
             parser.skip(m_request.method() == http::verb::head);
             boost::system::error_code failed;
             http::async_read_header(m_stream, m_buffer, parser, await{failed});
-            if (!failed && is_goaway(parser))
-                return refuse();
-            const bool is_own =
-                !failed && parser.get()[m_plan.id_field] == m_plan.id;
-            if (is_own && is_final(parser) && m_plan.observer != nullptr)
-                m_plan.observer->response_began();
-            if (!failed && !parser.is_done())
-                http::async_read(m_stream, m_buffer, parser, await{failed});
             if (failed)
-                return fail(failed, "no whole response came");
+                return fail(failed, not_whole);
+            if (is_goaway(parser))
+                return refuse();
             if (!is_final(parser))
-                continue;
-            if (is_own)
-                return accept(parser);
-            if (!parser.keep_alive() || ++m_result.skipped > max_skipped)
-                return fail({}, "the response belongs to another request");
+                ++interim;
+            else if (parser.get()[m_plan.id_field] == m_plan.id)
+                return read_own(parser);
+            else if (!skip(parser))
+                return;
+        }
+        fail({}, "too many interim responses came");
+    }
+
+    /** Reads the body of the response to this request. */
+    void read_own(head_parser& head)
+    {
+        if (m_plan.observer != nullptr)
+            m_plan.observer->response_began();
+        response_parser parser(std::move(head));
+        body_budget::body body(m_plan.bodies);
+        const auto length = parser.content_length();
+        if (!length)
+            parser.body_limit(max_unframed_body_bytes);
+        else if (!parser.is_done() && !body.take(*length))
+            return fail({}, does_not_fit);
+        boost::system::error_code failed;
+        while (!failed && !parser.is_done())
+        {
+            if (length)
+                http::async_read(m_stream, m_buffer, parser, await{failed});
+            else
+                http::async_read_some(m_stream, m_buffer, parser,
+                                      await{failed});
+            if (!length && !body.grow_to(parser.get().body().capacity()))
+                return fail({}, does_not_fit);
+        }
+        if (failed)
+            return fail(failed, not_whole);
+        accept(parser);
+    }
+
+    /** Reads and discards a response to another request. @return false if none
+     * can follow it. */
+    bool skip(head_parser& parser)
+    {
+        boost::system::error_code failed;
+        if (!parser.keep_alive() || ++m_result.skipped > max_skipped)
+        {
+            fail({}, "the response belongs to another request");
+            return false;
+        }
+        if (!parser.content_length())
+            parser.body_limit(max_skipped_body_bytes);
+        std::array<char, 4096> discarded{};
+        while (!failed && !parser.is_done())
+        {
+            auto& body = parser.get().body();
+            body.data = discarded.data();
+            body.size = discarded.size();
+            http::async_read(m_stream, m_buffer, parser, await{failed});
+            if (failed == http::error::need_buffer)
+                failed = {};
         }
+        if (failed)
+            fail(failed, not_whole);
+        return !failed;
     }
 
     /** @return false for an interim response. */
-    static bool is_final(const response_parser& parser)
+    static bool is_final(const head_parser& parser)
     {
         return parser.get().result_int() >= 200;
     }
 
-    bool is_goaway(const response_parser& parser) const
+    bool is_goaway(const head_parser& parser) const
     {
         return !m_plan.goaway_field.empty() &&
                parser.get().count(m_plan.goaway_field) != 0;
@@ -173,7 +237,7 @@
     const exchange_plan& m_plan;
     cancel_scope& m_scope;
     exchange_result m_result;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{max_buffer_bytes};
     std::size_t m_bytes_out = 0;
     bool m_sent = false;
     bool m_write_failed = false;
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -36,6 +36,9 @@
 constexpr std::size_t peer_body_bytes = 128 * 1024 * 1024;
 constexpr std::chrono::minutes peer_idle_timeout(5);
 constexpr milliseconds peer_head_timeout(10'000);
+// Bodies that are received may take one of so many parts of the memory; a body
+// that grows is copied once more for a moment.
+constexpr std::uint64_t body_memory_part = 2;
 
 entry_settings entry_settings_of(const settings& config)
 {
@@ -49,6 +52,14 @@
     return made;
 }
 
+/** @return the memory for bodies that are received, in bytes. */
+std::uint64_t body_memory_of(const settings& config)
+{
+    constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
+    return static_cast<std::uint64_t>(config.memory_limit_mb) * bytes_per_mb /
+           body_memory_part;
+}
+
 duration to_duration(double seconds)
 {
     return std::chrono::duration_cast<duration>(
@@ -143,6 +154,8 @@
                                     { reporter->departure_told(start); });
         owner->set_load_reader(adapter.read_load);
         owner->set_link(outgoing, config.link_mbps);
+        owner->set_body_budget(bodies);
+        entry->set_body_budget(bodies);
         owner->limit_dependent_runs(config.limit_dependent_runs != 0);
         targets.require_confirmation(steady_clock::now());
         mesh->routes_changed = [this](const route_view&) { publish_members(); };
@@ -440,6 +453,7 @@
     worker main_worker;
     stop_signal stop_requests{main_worker.io()};
     link_scheduler outgoing{main_worker.io(), config.link_mbps};
+    body_budget bodies{body_memory_of(config)};
     blackboard board;
     target_board board_targets;
     target_registry targets;
--- a/src/node/setting_table.cpp
+++ b/src/node/setting_table.cpp
@@ -44,6 +44,10 @@
         "node.link_mbps", &settings::link_mbps, optional, 0, 1'000'000,
         "bandwidth of this host's link in Mbit/s; the nodes with the fastest "
         "links of a failure domain read the store for the others"},
+    setting{"node.memory_limit_mb", &settings::memory_limit_mb, optional, 64,
+            1'000'000,
+            "memory in MB that the process may use; bounds the bodies that it "
+            "holds; only for nodes that follow routes in a feed"},
     setting{"retry.ratio", &settings::retry_ratio, optional, 0, 10,
             "retries allowed per call, for all nodes together"},
     setting{"retry.extra", &settings::retry_extra, optional, 0, 1'000'000,
--- a/src/proxy/call_entry_peers.cpp
+++ b/src/proxy/call_entry_peers.cpp
@@ -46,8 +46,12 @@
     if (!stream)
         return std::nullopt;
     cancel_scope scope;
-    auto result = exchange(
-        **stream, query, {deadline, m_names.request_id, load_query_id}, scope);
+    auto result = exchange(**stream, query,
+                           {.deadline = deadline,
+                            .id_field = m_names.request_id,
+                            .id = load_query_id,
+                            .bodies = m_bodies},
+                           scope);
     if (result.end != exchange_end::answered)
         return std::nullopt;
     if (result.reusable)
@@ -88,8 +92,11 @@
     sent.content_length(sent.body().size());
     write_hop_fields(sent, hop_call, now);
     auto result = exchange(**stream, sent,
-                           {state.call.deadline, m_names.request_id,
-                            state.call.request_id, nullptr, hop_field::goaway},
+                           {.deadline = state.call.deadline,
+                            .id_field = m_names.request_id,
+                            .id = state.call.request_id,
+                            .goaway_field = hop_field::goaway,
+                            .bodies = m_bodies},
                            scope);
     if (result.reusable)
         m_pool.give_back(owner.peer, std::move(*stream), idle_kept);
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -175,8 +175,9 @@
     request.set(http::field::host, target.where.text());
     cancel_scope scope;
     // A response with a request id is a late one to a call.
-    const exchange_plan plan{steady_clock::now() + check_timeout,
-                             m_names.request_id, ""};
+    const exchange_plan plan{.deadline = steady_clock::now() + check_timeout,
+                             .id_field = m_names.request_id,
+                             .bodies = m_bodies};
     auto result = exchange(**stream, request, plan, scope);
     if (result.reusable)
         m_pool.give_back(target.where, std::move(*stream),
@@ -788,10 +789,13 @@
     outstanding.emplace(m_loads, target.start(), **stream, sent_at,
                         expected_run(call));
     start_following();
-    auto result = exchange(
-        **stream, sent,
-        {call.deadline, m_names.request_id, call.request_id, &*outstanding},
-        scope);
+    auto result = exchange(**stream, sent,
+                           {.deadline = call.deadline,
+                            .id_field = m_names.request_id,
+                            .id = call.request_id,
+                            .observer = &*outstanding,
+                            .bodies = m_bodies},
+                           scope);
     if (outstanding->is_given_up() && result.end == exchange_end::unknown)
         result.detail = "the target left the call unanswered";
     outstanding.reset();
--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -38,6 +38,49 @@
     }
 }
 
+constexpr std::size_t endless_piece_bytes = 64 * 1024;
+
+/** @return how an endless response begins. */
+std::string endless_start(endless_response kind, const std::string& id)
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const auto fields = std::string(seal_field) + ": proof\r\n";
+    const auto own = std::string(id_field) + ": " + id + "\r\n";
+    switch (kind)
+    {
+    case endless_response::head:
+        return status;
+    case endless_response::body:
+        return status + own + fields + "\r\n";
+    case endless_response::foreign_body:
+        return status + fields + "\r\n";
+    case endless_response::chunks:
+        return status + own + fields + "Transfer-Encoding: chunked\r\n\r\n";
+    case endless_response::chunk_head:
+        return status + own + fields + "Transfer-Encoding: chunked\r\n\r\n1";
+    default:
+        return {};
+    }
+}
+
+/** @return what follows, again and again. */
+std::string endless_piece(endless_response kind)
+{
+    std::string unit = "x";
+    if (kind == endless_response::head)
+        unit = "X-More: of the same\r\n";
+    else if (kind == endless_response::interim)
+        unit = "HTTP/1.1 100 Continue\r\n\r\n";
+    else if (kind == endless_response::chunk_head)
+        unit = ";more=of-the-same";
+    else if (kind == endless_response::chunks)
+        unit = "400\r\n" + std::string(1024, 'x') + "\r\n";
+    std::string piece;
+    while (piece.size() + unit.size() <= endless_piece_bytes)
+        piece += unit;
+    return piece;
+}
+
 void reset(tcp_stream& stream)
 {
     boost::system::error_code ignored;
@@ -231,10 +274,35 @@
         reset(call.stream());
         return false;
     }
+    m_endless_carry += m_faults.endless_share;
+    if (m_faults.endless != endless_response::none && m_endless_carry >= 1)
+    {
+        --m_endless_carry;
+        return send_endless(call);
+    }
     const bool fails = consume(m_faults.fail) || injected_failure;
     return send(call, fails ? 500 : 200, false);
 }
 
+bool reporting_target::send_endless(inbound_call& call)
+{
+    const auto begin = steady_clock::now();
+    endless_record record{.id = std::string(call.head()[id_field])};
+    auto text = endless_start(m_faults.endless, record.id);
+    const auto piece = endless_piece(m_faults.endless);
+    boost::system::error_code failed;
+    while (!failed)
+    {
+        call.stream().expires_after(idle_timeout);
+        record.bytes += boost::asio::async_write(
+            call.stream(), boost::asio::buffer(text), await{failed});
+        text = piece;
+    }
+    record.took = steady_clock::now() - begin;
+    m_endless_records.push_back(record);
+    return false;
+}
+
 bool reporting_target::send(inbound_call& call, unsigned status, bool not_run)
 {
     whole_response response(static_cast<http::status>(status), 11);
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -15,6 +15,18 @@
 namespace tillerhall
 {
 
+/** Bytes without end that a target sends in the place of a response. */
+enum class endless_response
+{
+    none,
+    head,         ///< fields of a head
+    body,         ///< a body without a length
+    foreign_body, ///< as `body`, without the id of the request
+    chunks,       ///< a body in chunks
+    chunk_head,   ///< extensions of one chunk
+    interim       ///< responses with the status 100
+};
+
 /** Injected behaviour. A count applies to so many of the next requests. */
 struct target_faults
 {
@@ -39,6 +51,8 @@
     bool load_includes_run = false;   ///< it counts the run that it answers
     std::size_t body_bytes = 0;       ///< least size of the body of an answer
     unsigned unanswered = 0;          ///< takes the call and does nothing
+    endless_response endless = endless_response::none; ///< kind of the next
+    double endless_share = 0; ///< share of runs that get endless bytes
 };
 
 /** One recorded run. */
@@ -63,6 +77,14 @@
     time_point at{};
 };
 
+/** One endless response. */
+struct endless_record
+{
+    std::string id;
+    std::size_t bytes = 0; ///< sent until the caller closed the connection
+    duration took{};
+};
+
 /** A target that reports to a node and seals its responses. */
 class reporting_target
 {
@@ -90,6 +112,12 @@
         return m_arrivals;
     }
 
+    /** Endless responses that have ended. */
+    const std::vector<endless_record>& endless_records() const noexcept
+    {
+        return m_endless_records;
+    }
+
     /** Restarts with a new instance id at the same address. */
     void restart(std::string id);
 
@@ -122,6 +150,8 @@
     bool wait_for_close(tcp_stream& stream) const;
     bool send(inbound_call& call, unsigned status, bool not_run);
     static bool consume(unsigned& remaining);
+    /** Sends bytes until the caller closes the connection. @return false */
+    bool send_endless(inbound_call& call);
     /** @return true if the next run of @p path must fail. */
     bool must_fail(std::string_view path);
 
@@ -137,9 +167,11 @@
     std::uint64_t m_start_time_ms = 0;
     unsigned m_running = 0;
     double m_failure_carry = 0; ///< fraction of a failure, for the next run
+    double m_endless_carry = 0; ///< the same of an endless response
     target_faults m_faults;
     std::vector<target_run> m_runs;
     std::vector<target_arrival> m_arrivals;
+    std::vector<endless_record> m_endless_records;
     std::uint64_t m_sequence = 0;
     std::set<tcp_stream*> m_streams;                  ///< open connections
     std::map<tcp_stream*, std::string> m_late_copies; ///< not yet sent
--- /dev/null
+++ b/tests/integration/endless_responses.cpp
@@ -0,0 +1,129 @@
+/** @file Targets that send bytes without end in the place of a response.
+ *
+ * Guards against a node that reads them into memory until it is killed, against
+ * other calls that fail meanwhile, and against answers that come late. */
+#include "open_loop.hpp"
+
+#include <array>
+
+using namespace tillerhall;
+using namespace tillerhall::harness;
+
+namespace
+{
+
+// The default of the setting node.memory_limit_mb.
+constexpr double memory_limit_mb = 256;
+constexpr milliseconds route_timeout(1'000);
+// An answer may come so long after the route's timeout.
+constexpr milliseconds late_limit(500);
+
+struct endless_system : mesh_system
+{
+    explicit endless_system(worker& on)
+        : mesh_system(on, {"perceel", "perceel", "beurs", "beurs"})
+    {
+        const int timeout_ms = static_cast<int>(route_timeout.count());
+        configure(1,
+                  {{"fields", "/fields/", "perceel", "safe", timeout_ms},
+                   {"once", "/once/", "perceel", "unsafe", timeout_ms},
+                   {"sales", "/sales/", "beurs", "unsafe", timeout_ms}},
+                  "/health");
+        for (auto& each : hosts())
+        {
+            each.target->set_slots(12);
+            each.target->faults().work = milliseconds(20);
+        }
+        start();
+        for (auto& from : hosts())
+            for (const auto* path : {"/fields/w", "/sales/w"})
+                REQUIRE(wait_until(
+                    [&] { return call(from, "warm", path).status == 200; }));
+    }
+
+    reporting_target& faulty() { return *hosts()[0].target; }
+
+    /** @return the greatest resident memory that a node has had, in MB. */
+    double most_memory_mb()
+    {
+        double most = 0;
+        for (const auto& each : hosts())
+        {
+            std::ifstream status("/proc/" + std::to_string(each.node.pid()) +
+                                 "/status");
+            std::string word;
+            double kb = 0;
+            while (status >> word && word != "VmHWM:")
+                ;
+            status >> kb;
+            most = std::max(most, kb / 1024);
+        }
+        return most;
+    }
+
+    bool got_endless_bytes(const std::string& id)
+    {
+        const auto& records = faulty().endless_records();
+        return std::ranges::find(records, id, &endless_record::id) !=
+               records.end();
+    }
+};
+
+struct named_kind
+{
+    endless_response kind;
+    const char* name;
+};
+
+constexpr std::array kinds{
+    named_kind{endless_response::head, "head"},
+    named_kind{endless_response::body, "body"},
+    named_kind{endless_response::foreign_body, "foreign_body"},
+    named_kind{endless_response::chunks, "chunks"},
+    named_kind{endless_response::chunk_head, "chunk_head"},
+    named_kind{endless_response::interim, "interim"}};
+
+} // namespace
+
+TEST_CASE("a response without end costs its own call and nothing else")
+{
+    const auto each = GENERATE(from_range(kinds));
+    CAPTURE(each.name);
+    on_worker(
+        [=](worker& on)
+        {
+            endless_system system(on);
+            auto& faults = system.faulty().faults();
+            faults.endless = each.kind;
+            faults.endless_share = 0.3;
+            const auto plan = [](std::string prefix, std::string path)
+            {
+                return open_loop_plan{std::move(prefix), std::move(path), 60,
+                                      std::chrono::seconds(4)};
+            };
+            open_loop reads(system, plan("r-", "/fields/x"));
+            open_loop once(system, plan("o-", "/once/x"));
+            open_loop sales(system, plan("s-", "/sales/x"));
+            for (const auto& call : reads.finish())
+            {
+                const bool is_hit = system.got_endless_bytes(call.id);
+                CHECK(call.took < route_timeout + late_limit);
+                // It is sent again while the budget of retries allows it.
+                CHECK((call.answer.status == 200 ||
+                       (is_hit && call.answer.status == 502)));
+            }
+            for (const auto& call : sales.finish())
+                CHECK(call.answer.status == 200);
+            for (const auto& call : once.finish())
+            {
+                const bool is_hit = system.got_endless_bytes(call.id);
+                CHECK(call.took < route_timeout + late_limit);
+                // It may have run, so it is neither refused nor sent again.
+                CHECK(call.answer.status == (is_hit ? 502 : 200));
+                CHECK(system.runs_of(call.id) == 1);
+            }
+            CHECK_FALSE(system.faulty().endless_records().empty());
+            INFO(system.most_memory_mb() << " MB at most");
+            CHECK(system.most_memory_mb() < memory_limit_mb);
+        });
+}
