A late report of an earlier start revives nothing after the later one left

Cause: a report of an earlier start under the same id was refused only while the later start was in use. Once that had left, nothing was left to compare it with.

Change: the registry remembers the latest start of each id and when it first reported. A report of an earlier start was sent before that, so it is refused until the longest delay of a report has passed. A later start whose clock was set back is refused as long and taken then; while the other start is in use the rule is as before, so the case for that is unchanged.

--- a/include/tillerhall/targets/target_registry.hpp
+++ b/include/tillerhall/targets/target_registry.hpp
@@ -31,11 +31,13 @@
  * A start of a target that has left never returns; a later start under the same
  * id is a new target. The reports of a start are ordered by their sequence, so
  * a late report has no effect; of two starts under one id the later one is in
- * use. Among different ids the one whose first report came last is in use; an
- * older one takes over again only with a report of a greater sequence. No
- * target is in use before `set_departures_known` is called: after a restart the
- * node must not trust a report that may be older than a departure which its
- * earlier boot acknowledged.
+ * use, and while a report of the earlier one may be under way nothing revives
+ * that one, also after the later one has left. Among different ids the one
+ * whose first report came last is in use; an older one takes over again only
+ * with a report of a greater sequence. No target is in use before
+ * `set_departures_known` is called: after a restart the node must not trust a
+ * report that may be older than a departure which its earlier boot
+ * acknowledged.
  *
  * The record of such a departure can be lost, with the nodes that held it while
  * the store was down. After a restart a report may therefore have to be
@@ -127,9 +129,19 @@
     std::vector<std::string> known_starts_of(const target_report& report) const;
     report_result use(const target_report& report, time_point now);
     bool needs_confirmation(const std::string& start, time_point now) const;
-    /** @return true if a later start under the same id is in use. */
+    void note_start(const target_report& report, time_point now);
+    /** @return true if a later start under the same id is known, and the report
+     * was sent before it. */
     bool is_outdated(const target_report& report, time_point now) const;
 
+    /** The latest start under an id, and when it first reported. */
+    struct latest_start
+    {
+        std::uint64_t started_ms = 0;
+        time_point seen{};
+    };
+
+    std::map<std::string, latest_start> m_latest;     ///< by id
     std::map<std::string, std::uint64_t> m_sequences; ///< by start
     std::vector<std::string> m_departed;
     std::optional<target_report> m_current;
--- a/src/targets/target_registry.cpp
+++ b/src/targets/target_registry.cpp
@@ -67,18 +67,33 @@
     return is_new ? report_result::closed : report_result::unchanged;
 }
 
+void target_registry::note_start(const target_report& report, time_point now)
+{
+    auto& latest = m_latest[report.id];
+    if (report.started_ms > latest.started_ms)
+        latest = {report.started_ms, now};
+}
+
 bool target_registry::is_outdated(const target_report& report,
                                   time_point now) const
 {
-    // A clock that was set back can make a later start seem the earlier one: it
-    // takes over once the other has stopped reporting.
-    return m_current && m_current->id == report.id &&
-           report.started_ms < m_current->started_ms &&
-           now < m_last_report_at + report_timeout;
+    const auto found = m_latest.find(report.id);
+    if (found == m_latest.end() ||
+        report.started_ms >= found->second.started_ms)
+        return false;
+    // A clock that was set back can make a later start seem the earlier one. It
+    // takes over once the other has stopped reporting or, if that is not in
+    // use, once no report from before its start can be under way.
+    const auto& latest = found->second;
+    const bool is_used = m_current && m_current->id == report.id &&
+                         m_current->started_ms == latest.started_ms;
+    return now < (is_used ? m_last_report_at + report_timeout
+                          : latest.seen + max_report_delay);
 }
 
 report_result target_registry::take(const target_report& report, time_point now)
 {
+    note_start(report, now);
     // A departure is final, however late its report arrives.
     if (report.state != report_state::ready)
         return take_leaving(report);
--- a/tests/unit/target_registry.cpp
+++ b/tests/unit/target_registry.cpp
@@ -291,6 +291,33 @@
           report_result::changed);
 }
 
+TEST_CASE("a late report of an earlier start revives nothing after the later "
+          "one has left")
+{
+    // Guards against a target that is used again while it drains.
+    auto targets = open_registry();
+    const time_point now{std::chrono::hours(1)};
+    const auto after = [&](milliseconds span, std::uint64_t born,
+                           report_state state, std::uint64_t sequence)
+    {
+        auto report = report_of("t", state, sequence);
+        report.started_ms = born;
+        return targets.take(report, now + span);
+    };
+    using enum report_state;
+    after(milliseconds(0), 1'000, ready, 5);
+    after(milliseconds(100), 2'000, ready, 1);
+    CHECK(after(milliseconds(200), 2'000, draining, 2) ==
+          report_result::closed);
+    CHECK(after(milliseconds(300), 1'000, ready, 6) == report_result::stale);
+    CHECK(after(milliseconds(9'000), 1'000, ready, 7) == report_result::stale);
+    CHECK(targets.in_use() == nullptr);
+    // No report is under way for so long: this start is the later one, and its
+    // clock was set back.
+    CHECK(after(milliseconds(10'100), 1'500, ready, 1) ==
+          report_result::opened);
+}
+
 TEST_CASE("a departure report without a start time means the current start")
 {
     auto targets = open_registry();
