Connections reserve the ids that they carry at once

Cause: the list of carried ids grew step by step, between other allocations, for as long as its connection lived.

--- a/include/tillerhall/http/pooled_stream.hpp
+++ b/include/tillerhall/http/pooled_stream.hpp
@@ -3,6 +3,7 @@
 
 #include "tillerhall/http/stream.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <string_view>
 #include <vector>
@@ -42,7 +43,7 @@
 
 private:
     std::unique_ptr<tcp_stream> m_stream;
-    std::vector<std::size_t> m_carried; ///< hashes of ids
+    std::vector<std::uint32_t> m_carried; ///< hashes of ids
 };
 
 } // namespace tillerhall
--- a/src/http/pooled_stream.cpp
+++ b/src/http/pooled_stream.cpp
@@ -8,9 +8,10 @@
 namespace
 {
 
-std::size_t hash_of(std::string_view request_id)
+std::uint32_t hash_of(std::string_view request_id)
 {
-    return std::hash<std::string_view>{}(request_id);
+    return static_cast<std::uint32_t>(
+        std::hash<std::string_view>{}(request_id));
 }
 
 } // namespace
@@ -28,6 +29,8 @@
 
 void pooled_stream::add_carried(std::string_view request_id)
 {
+    // Growing it step by step would fragment the heap.
+    m_carried.reserve(max_requests);
     m_carried.push_back(hash_of(request_id));
 }
 
