--- a/tests/support/node_faults.hpp
+++ b/tests/support/node_faults.hpp
@@ -67,6 +67,24 @@
             }
     }
 
+    /** Kills all nodes that have no fault and starts them again. */
+    void kill_all()
+    {
+        std::vector<std::size_t> killed;
+        for (std::size_t i = 0; i < m_system.hosts().size(); ++i)
+            if (m_busy.insert(i).second)
+                killed.push_back(i);
+        const auto begin = steady_clock::now();
+        for (const auto i : killed)
+            m_system.hosts()[i].node.kill();
+        for (const auto i : killed)
+        {
+            m_system.start_node(m_system.hosts()[i]);
+            m_disturbed[i].emplace_back(begin, steady_clock::now());
+            m_busy.erase(i);
+        }
+    }
+
     /** Targets report repeatedly, so that a restarted node learns of them. */
     void send_target_reports(time_point until, int& open)
     {
