--- a/tests/integration/departures_soak.cpp
+++ b/tests/integration/departures_soak.cpp
@@ -73,15 +73,19 @@
             });
     }
 
-    /** Asks for an acknowledgement a few times and serves on for a while. */
+    /** Asks for an acknowledgement until it comes, and serves on for a while
+     * without a report. */
     void leave(mesh_host& host, std::uint64_t sequence)
     {
         const auto ends_at =
             steady_clock::now() + milliseconds(3'000 + m_random.below(5'000));
+        bool acknowledged = false;
         while (steady_clock::now() < ends_at)
         {
-            if (host.target->report(host.at["operators"], "draining",
-                                    sequence) == 200)
+            acknowledged = acknowledged ||
+                           host.target->report(host.at["operators"], "draining",
+                                               sequence) == 200;
+            if (acknowledged)
                 m_acknowledged.emplace(host.target->id(), steady_clock::now());
             sleep_for(m_system.on().io(), report_interval);
         }
@@ -94,6 +98,16 @@
     std::size_t m_done = 0;
 };
 
+/** Kills all nodes in an outage of the store. */
+void lose_all(mesh_system& system, random_source& random, node_faults& faults)
+{
+    system.store().faults().down = true;
+    sleep_for(system.on().io(), milliseconds(1'000 + random.below(2'000)));
+    faults.kill_all();
+    sleep_for(system.on().io(), milliseconds(random.below(1'500)));
+    system.store().faults().down = false;
+}
+
 /** @return the hosts of a run; TILLERHALL_HOSTS sets another number. */
 std::size_t host_count()
 {
@@ -120,8 +134,8 @@
             open_loop load(system, {"c-", "/fields/x", 100, span});
             while (steady_clock::now() < until)
             {
-                if (random.below(8) == 0)
-                    faults.kill_all();
+                if (random.below(5) == 0)
+                    lose_all(system, random, faults);
                 else
                     faults.inject_random();
                 sleep_for(on.io(), milliseconds(100 + random.below(900)));
--- /dev/null
+++ b/tests/integration/exchange.cpp
@@ -0,0 +1,104 @@
+/** @file Responses of unusual shape.
+ *
+ * Guards against one that ends the process, is taken for that of another
+ * request, or is passed on though it is incomplete. */
+#include "system.hpp"
+
+#include "tillerhall/core/await.hpp"
+#include "tillerhall/http/exchange.hpp"
+#include "tillerhall/http/listener.hpp"
+
+#include <array>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+using namespace tillerhall;
+using namespace tillerhall::harness;
+
+namespace
+{
+
+struct response_case
+{
+    const char* sent; ///< after "HTTP/1.1 "
+    exchange_end end;
+    const char* body;
+    unsigned skipped = 0;
+    boost::beast::http::verb method = boost::beast::http::verb::get;
+};
+
+constexpr auto answered = exchange_end::answered;
+constexpr auto unknown = exchange_end::unknown;
+constexpr auto head = boost::beast::http::verb::head;
+
+constexpr std::array cases{
+    response_case{"204 OK\r\nId: a\r\n\r\n", answered, ""},
+    response_case{"304 OK\r\nId: a\r\nContent-Length: 5\r\n\r\n", answered, ""},
+    response_case{"200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n", answered, ""},
+    response_case{"200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\n", answered, "",
+                  0, head},
+    response_case{"200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok", answered,
+                  "ok"},
+    response_case{"200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\nok", unknown,
+                  ""},
+    response_case{"200 OK\r\nId: a\r\n\r\nok", answered, "ok"},
+    response_case{"200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "2\r\nok\r\n0\r\n\r\n",
+                  answered, "ok"},
+    response_case{"200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "2\r\nok\r\n",
+                  unknown, ""},
+    response_case{"100 Continue\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok",
+                  answered, "ok"},
+    response_case{"200 OK\r\nId: b\r\nContent-Length: 2\r\n\r\nno"
+                  "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok",
+                  answered, "ok", 1},
+    response_case{"200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "2\r\nno\r\n0\r\n\r\n"
+                  "HTTP/1.1 204 OK\r\nId: a\r\n\r\n",
+                  answered, "", 1},
+    response_case{"200 OK\r\nId: b\r\n\r\nno", unknown, ""}};
+
+} // namespace
+
+TEST_CASE("only a complete response with the request's id is accepted")
+{
+    const auto each = GENERATE(from_range(cases));
+    CAPTURE(each.sent);
+    on_worker(
+        [=](worker& on)
+        {
+            // Never destroyed: its fibers outlive the test.
+            auto& server = *listener::open(on, {"127.0.0.1", 0})->release();
+            server.start(
+                [&](tcp_stream& stream)
+                {
+                    boost::system::error_code failed;
+                    std::string request;
+                    boost::asio::async_read_until(
+                        stream, boost::asio::dynamic_buffer(request),
+                        "\r\n\r\n", await{failed});
+                    const auto text = std::string("HTTP/1.1 ") + each.sent;
+                    boost::asio::async_write(stream, boost::asio::buffer(text),
+                                             await{failed});
+                    stream.socket().shutdown(
+                        boost::asio::socket_base::shutdown_send, failed);
+                });
+            auto stream = connect_stream(on.io(), server.local(),
+                                         std::chrono::seconds(2));
+            REQUIRE(stream);
+            whole_request request(each.method, "/x", 11);
+            cancel_scope scope;
+            const auto result = exchange(
+                **stream, request,
+                {.deadline = steady_clock::now() + std::chrono::seconds(2),
+                 .id_field = "Id",
+                 .id = "a"},
+                scope);
+            CHECK(result.end == each.end);
+            CHECK(result.skipped == each.skipped);
+            if (each.end == answered)
+                CHECK(result.response->body() == each.body);
+        });
+}
