--- a/include/tillerhall/targets/target_registry.hpp
+++ b/include/tillerhall/targets/target_registry.hpp
@@ -146,7 +146,8 @@
     std::vector<std::string> m_departed;
     std::optional<target_report> m_current;
     std::optional<target_report> m_unconfirmed;
-    std::vector<std::string> m_confirmed; ///< starts, since `m_confirm_until`
+    std::vector<std::string> m_confirmed; ///< starts
+    /** Reports that arrive before this need confirmation. */
     time_point m_confirm_until{};
     time_point
         m_last_report_at{}; ///< time of the last report of the target in use
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -27,7 +27,6 @@
 // A process takes longer to restart; all active runs of a crash learn of it
 // within this time.
 constexpr milliseconds min_crash_interval(500);
-// Limit of queued calls; the wait limit of each call takes effect before this.
 constexpr milliseconds follow_interval(50);
 // A health check costs a target up to 6 ms; it is only made while no call can
 // tell the load.
@@ -36,6 +35,7 @@
 // All health checks have this id for `stream_pool::take`, so that a late copy
 // of a check's response is not taken for that of another.
 constexpr std::string_view health_check_id = "health check";
+// The wait limit of each call takes effect before this.
 constexpr std::int64_t max_queued_calls = 512;
 constexpr std::chrono::seconds max_wait(60);
 // Reason for refusing a call while the failure domain is drained.
--- a/tests/integration/departures_soak.cpp
+++ b/tests/integration/departures_soak.cpp
@@ -108,13 +108,6 @@
     system.store().faults().down = false;
 }
 
-/** @return the hosts of a run; TILLERHALL_HOSTS sets another number. */
-std::size_t host_count()
-{
-    const char* given = std::getenv("TILLERHALL_HOSTS");
-    return given == nullptr ? 5 : std::stoul(given);
-}
-
 } // namespace
 
 TEST_CASE("no call reaches a target whose departure was acknowledged")
@@ -124,7 +117,7 @@
         [](worker& on, std::uint64_t seed)
         {
             mesh_system system(
-                on, std::vector<std::string>(host_count(), "perceel"));
+                on, std::vector<std::string>(host_count(5), "perceel"));
             system.configure(1, {{"fields", "/fields/", "perceel"}}, "/health");
             system.start();
             random_source random(seed);
--- a/tests/integration/planned_stops_soak.cpp
+++ b/tests/integration/planned_stops_soak.cpp
@@ -328,13 +328,6 @@
     }
 }
 
-/** @return the hosts of a run; TILLERHALL_HOSTS sets another number. */
-std::size_t host_count()
-{
-    const char* given = std::getenv("TILLERHALL_HOSTS");
-    return given == nullptr ? 4 : std::stoul(given);
-}
-
 } // namespace
 
 TEST_CASE("no request is lost over planned stops, reloads and configurations")
@@ -344,7 +337,7 @@
         [](worker& on, std::uint64_t seed)
         {
             mesh_system system(
-                on, std::vector<std::string>(host_count(), "perceel"));
+                on, std::vector<std::string>(host_count(4), "perceel"));
             set_up_targets(system);
             system.configure(1,
                              {{"fields", "/fields/", "perceel"},
@@ -354,7 +347,7 @@
             random_source random(seed);
             pipelining_clients clients(system, random);
             const auto until = steady_clock::now() + span;
-            clients.start(3 * static_cast<int>(host_count()), until);
+            clients.start(3 * static_cast<int>(host_count(4)), until);
             planned_work work(system, random);
             work.run(until);
             REQUIRE(system.wait_until([&] { return clients.open() == 0; }));
--- a/tests/support/node_faults.hpp
+++ b/tests/support/node_faults.hpp
@@ -151,6 +151,13 @@
     int m_active = 0;
 };
 
+/** @return the hosts of a run; TILLERHALL_HOSTS sets another number. */
+inline std::size_t host_count(std::size_t otherwise)
+{
+    const char* given = std::getenv("TILLERHALL_HOSTS");
+    return given == nullptr ? otherwise : std::stoul(given);
+}
+
 /** Runs @p body on a worker for each of @p count seeds. The environment sets
  * longer runs: TILLERHALL_SEEDS=50, first seed in TILLERHALL_SEED. */
 inline void
