One take for pooled connections, with and without a request id

Cause: two overloads of stream_pool::take and a search with a std::function told apart what an empty request id says as well.

Change: the id is empty for connections on which it does not matter; the search asks pooled_stream::may_carry.

--- a/include/tillerhall/http/pooled_stream.hpp
+++ b/include/tillerhall/http/pooled_stream.hpp
@@ -28,8 +28,8 @@
     tcp_stream& operator*() const noexcept { return *m_stream; }
     tcp_stream* operator->() const noexcept { return m_stream.get(); }
 
-    /** @return whether a request with this id may be sent. Never wrong if true;
-     * ids are compared by their hashes. */
+    /** @return whether a request with this id, or without one, may be sent.
+     * Never wrong if true; ids are compared by their hashes. */
     bool may_carry(std::string_view request_id) const;
 
     /** Records that a request with this id will be sent. */
--- a/include/tillerhall/http/stream_pool.hpp
+++ b/include/tillerhall/http/stream_pool.hpp
@@ -3,7 +3,6 @@
 
 #include "tillerhall/http/pooled_stream.hpp"
 
-#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -33,12 +32,13 @@
     {
     }
 
-    /** @return an idle stream to @p to, or a new one. */
-    result<pooled_stream> take(const address& to, duration timeout);
-
-    /** As above; the stream has not carried @p request_id before. */
+    /**
+     * @param request_id id of the request to be sent, which the stream must not
+     * have carried before; empty if that does not matter
+     * @return an idle stream to @p to, or a new one.
+     */
     result<pooled_stream>
-    take(const address& to, duration timeout, std::string_view request_id);
+    take(const address& to, duration timeout, std::string_view request_id = {});
 
     /**
      * Opens a new stream to @p to, even if there are idle ones, and keeps it as
@@ -74,11 +74,10 @@
         time_point usable_until;
     };
 
-    /** @return the newest usable idle stream to @p to that @p is_suitable
-     * accepts, if any. */
-    std::optional<pooled_stream>
-    take_idle(const address& to,
-              const std::function<bool(const pooled_stream&)>& is_suitable);
+    /** @return the newest usable idle stream to @p to that may carry the
+     * request, if any. */
+    std::optional<pooled_stream> take_idle(const address& to,
+                                           std::string_view request_id);
     result<pooled_stream> open(const address& to, duration timeout);
     void drop_expired(time_point now);
 
--- a/src/http/pooled_stream.cpp
+++ b/src/http/pooled_stream.cpp
@@ -23,12 +23,14 @@
 
 bool pooled_stream::may_carry(std::string_view request_id) const
 {
-    return !is_used_up() &&
+    return request_id.empty() ||
            std::ranges::find(m_carried, hash_of(request_id)) == m_carried.end();
 }
 
 void pooled_stream::add_carried(std::string_view request_id)
 {
+    if (request_id.empty())
+        return;
     // Growing it step by step would fragment the heap.
     m_carried.reserve(max_requests);
     m_carried.push_back(hash_of(request_id));
--- a/src/http/stream_pool.cpp
+++ b/src/http/stream_pool.cpp
@@ -35,9 +35,8 @@
     std::erase_if(m_idle, [](const auto& each) { return each.second.empty(); });
 }
 
-std::optional<pooled_stream> stream_pool::take_idle(
-    const address& to,
-    const std::function<bool(const pooled_stream&)>& is_suitable)
+std::optional<pooled_stream> stream_pool::take_idle(const address& to,
+                                                    std::string_view request_id)
 {
     const auto found = m_idle.find(to);
     if (found == m_idle.end())
@@ -46,7 +45,7 @@
     for (auto i = std::ssize(idle); i-- > 0;)
     {
         const auto at = idle.begin() + i;
-        if (!is_suitable(at->stream))
+        if (!at->stream.may_carry(request_id))
             continue;
         auto newest = std::move(*at);
         idle.erase(at);
@@ -67,19 +66,11 @@
     return pooled_stream(std::move(*opened));
 }
 
-result<pooled_stream> stream_pool::take(const address& to, duration timeout)
-{
-    if (auto idle = take_idle(to, [](const pooled_stream&) { return true; }))
-        return std::move(*idle);
-    return open(to, timeout);
-}
-
 result<pooled_stream> stream_pool::take(const address& to,
                                         duration timeout,
                                         std::string_view request_id)
 {
-    auto idle = take_idle(to, [request_id](const pooled_stream& each)
-                          { return each.may_carry(request_id); });
+    auto idle = take_idle(to, request_id);
     auto taken =
         idle ? result<pooled_stream>(std::move(*idle)) : open(to, timeout);
     if (taken)
