Reports of a start whose clock was set back are taken once it is in use

What callers saw: nothing was shown; for up to 4 s the properties of such a target, its slots for one, stayed as they were first reported.

Cause: such a start is taken once the other one has stopped reporting for 5 s. After that its reports were compared with the latest start known, for 10 s, and refused.

Change: a report of the start in use is not outdated.

--- a/src/targets/target_registry.cpp
+++ b/src/targets/target_registry.cpp
@@ -78,7 +78,8 @@
                                   time_point now) const
 {
     const auto found = m_latest.find(report.id);
-    if (found == m_latest.end() ||
+    const bool is_current = m_current && m_current->start() == report.start();
+    if (is_current || found == m_latest.end() ||
         report.started_ms >= found->second.started_ms)
         return false;
     // A clock that was set back can make a later start seem the earlier one. It
--- a/tests/unit/target_registry.cpp
+++ b/tests/unit/target_registry.cpp
@@ -289,6 +289,13 @@
           report_result::stale);
     CHECK(targets.take(report, now + std::chrono::seconds(6)) ==
           report_result::changed);
+    // Its later reports are not outdated either.
+    report.sequence = 2;
+    report.slots = 9;
+    CHECK(targets.take(report, now + std::chrono::seconds(7)) ==
+          report_result::changed);
+    REQUIRE(targets.in_use() != nullptr);
+    CHECK(targets.in_use()->slots == 9);
 }
 
 TEST_CASE("a late report of an earlier start revives nothing after the later "
