A health check is timed from its sending, as before

What callers saw: nothing was shown; found by reading.

Cause: since the health check is a function of its own, its report was dated from before the connection was opened. A round trip then holds the time of the connect, so that calls which a target lacks are found later, and a check that could not be sent counted as one that was not answered.

No test shows the difference: a connection on loopback opens at once.

--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -188,6 +188,13 @@
         int m_probes;
     };
 
+    /** A health check of the target. */
+    struct health_check
+    {
+        std::optional<time_point> sent; ///< unset without a connection
+        std::optional<whole_response> response;
+    };
+
     /** Returns the tokens of a run that does not begin. */
     class start_permit
     {
@@ -285,8 +292,7 @@
     void follow_loads();
     /** Asks the target for its health, since the response reports its load. */
     void check_target();
-    /** @return the response to a health check; nothing if there is none. */
-    std::optional<whole_response> check_health(const target_report& target);
+    health_check check_health(const target_report& target);
     /** @return the slots that calls may use, of @p slots. */
     std::int64_t usable_slots(std::int64_t slots) const;
     /** @return the load of the slots of @p target, with foreign runs. */
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -163,26 +163,27 @@
     update_slots();
 }
 
-std::optional<whole_response>
+target_owner::health_check
 target_owner::check_health(const target_report& target)
 {
     auto stream = m_pool.take(target.where, connect_timeout, health_check_id);
     if (!stream || m_targets.has_departed(target.start()))
-        return std::nullopt;
+        return {};
     whole_request request(
         http::verb::get,
         m_board.call_map.get()->terms_of(m_service).health_path, 11);
     request.set(http::field::host, target.where.text());
     cancel_scope scope;
     // A response with a request id is a late one to a call.
-    const exchange_plan plan{.deadline = steady_clock::now() + check_timeout,
+    const auto sent = steady_clock::now();
+    const exchange_plan plan{.deadline = sent + check_timeout,
                              .id_field = m_names.request_id,
                              .bodies = m_bodies};
     auto result = exchange(**stream, request, plan, scope);
     if (result.reusable)
         m_pool.give_back(target.where, std::move(*stream),
                          duration(default_idle_timeout) - idle_margin);
-    return std::move(result.response);
+    return {sent, std::move(result.response)};
 }
 
 bool target_owner::can_check_health() const
@@ -192,7 +193,7 @@
 
 bool target_owner::is_healthy(const target_report& target)
 {
-    const auto response = check_health(target);
+    const auto response = check_health(target).response;
     if (!response || response->result() != http::status::ok)
         return false;
     // Another target may have been started at the address.
@@ -213,10 +214,11 @@
         return;
     m_checks_target = true;
     const target_report target(*used);
-    const auto response = check_health(target);
-    m_check_failed = !response;
-    if (response)
-        m_loads.take(target.start(), *response, false, now,
+    const auto check = check_health(target);
+    if (check.sent)
+        m_check_failed = !check.response;
+    if (check.response)
+        m_loads.take(target.start(), *check.response, false, *check.sent,
                      steady_clock::now());
     // A call that may be missing waits for proof.
     m_next_check =
