A soak of refusals: targets that reject, repeat, lose and garble responses

The soak plays the conditions of the record: several targets, entries and services; targets that reject with free slots, also before they have read a body, repeat responses later, lose and garble some, crash and start again under their id; runs that call other services; kept connections, uploads and clients that leave or come back; beside it kills, stops and freezes of nodes, outages of the store, reloads and configurations. Clients and targets are compared: no refused unsafe call ran, none ran twice, no answer is another request's.

The clients of planned_stops_soak moved to a header that both use; their draws are unchanged.

--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -107,6 +107,7 @@
     , m_reported_at(m_where)
     , m_id(std::move(id))
     , m_service(std::move(service))
+    , m_random(std::hash<std::string>{}(m_id))
 {
     m_listener->start([this](tcp_stream& stream) { serve(stream); });
 }
@@ -119,6 +120,11 @@
     return true;
 }
 
+bool reporting_target::draw(unsigned& remaining, double share)
+{
+    return consume(remaining) || (share > 0 && m_random.unit() < share);
+}
+
 bool reporting_target::must_fail(std::string_view path)
 {
     if (!path.starts_with(m_faults.failing_prefix) ||
@@ -245,9 +251,12 @@
             {std::string(call.head()[id_field]), "", "", "", "", {}, "", ""});
         return send(call, 200, false) && read_rest(call);
     }
+    const bool sheds = draw(m_faults.shed, m_faults.shed_share);
+    if (sheds && m_faults.sheds_early)
+        return send(call, 503, true) && read_rest(call);
     if (!read_rest(call))
         return false;
-    if (consume(m_faults.shed))
+    if (sheds)
         return send(call, 503, true);
     if (consume(m_faults.unanswered))
         return wait_for_close(call.stream());
@@ -262,6 +271,8 @@
     ++m_running;
     const bool injected_failure = must_fail(call.head().target());
     const bool crashes = call.head().target() == m_faults.crash_path;
+    const bool on_run_failed =
+        m_faults.on_run && !m_faults.on_run(std::string(m_runs[index].id));
     sleep_for(m_worker.io(), m_faults.work);
     --m_running;
     m_runs[index].ended = steady_clock::now();
@@ -280,7 +291,8 @@
         --m_endless_carry;
         return send_endless(call);
     }
-    const bool fails = consume(m_faults.fail) || injected_failure;
+    const bool fails =
+        consume(m_faults.fail) || injected_failure || on_run_failed;
     return send(call, fails ? 500 : 200, false);
 }
 
@@ -329,7 +341,7 @@
             std::max(response.body().size(), m_faults.body_bytes), '.');
     response.prepare_payload();
     auto text = text_of(response);
-    if (consume(m_faults.late_copies))
+    if (draw(m_faults.late_copies, m_faults.copy_share))
         m_late_copies[&call.stream()] = text;
     const bool truncated = consume(m_faults.truncated_answers);
     if (truncated)
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -1,11 +1,13 @@
 /** @file Stand-in for a target on the users' platform, used by tests. */
 #pragma once
 
+#include "tillerhall/core/random.hpp"
 #include "tillerhall/core/worker.hpp"
 #include "tillerhall/http/api_client.hpp"
 #include "tillerhall/http/inbound_call.hpp"
 #include "tillerhall/http/listener.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -53,6 +55,11 @@
     unsigned unanswered = 0;          ///< takes the call and does nothing
     endless_response endless = endless_response::none; ///< kind of the next
     double endless_share = 0; ///< share of runs that get endless bytes
+    double shed_share = 0;    ///< share of calls answered as by `shed`
+    bool sheds_early = false; ///< answers so before it reads the body
+    double copy_share = 0;    ///< share of answers repeated as `late_copies`
+    /** Called in each run with its request id; it fails if this is false. */
+    std::function<bool(const std::string&)> on_run;
 };
 
 /** One recorded run. */
@@ -150,6 +157,8 @@
     bool wait_for_close(tcp_stream& stream) const;
     bool send(inbound_call& call, unsigned status, bool not_run);
     static bool consume(unsigned& remaining);
+    /** As `consume`, or drawn with the chance @p share. */
+    bool draw(unsigned& remaining, double share);
     /** Sends bytes until the caller closes the connection. @return false */
     bool send_endless(inbound_call& call);
     /** @return true if the next run of @p path must fail. */
@@ -169,6 +178,7 @@
     double m_failure_carry = 0; ///< fraction of a failure, for the next run
     double m_endless_carry = 0; ///< the same of an endless response
     target_faults m_faults;
+    random_source m_random;
     std::vector<target_run> m_runs;
     std::vector<target_arrival> m_arrivals;
     std::vector<endless_record> m_endless_records;
--- a/tests/integration/planned_stops_soak.cpp
+++ b/tests/integration/planned_stops_soak.cpp
@@ -5,11 +5,9 @@
  * kept connections of clients that use them until the process is gone.
  */
 #include "node_faults.hpp"
+#include "pipelining_clients.hpp"
 
 #include <array>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
-#include <deque>
 #include <iostream>
 
 using namespace tillerhall;
@@ -18,12 +16,9 @@
 namespace
 {
 
-namespace http = boost::beast::http;
-
 constexpr std::chrono::seconds span(12);
 // Together shorter than the time in which a stopping node finishes calls.
 constexpr milliseconds max_work(400);
-constexpr int time_left_ms = 2'500;
 constexpr std::size_t max_body = 200'000;
 // Answers of some targets are under way for as long as others run.
 constexpr double link_bytes_per_s = 3'000'000;
@@ -33,134 +28,6 @@
 // killed after 4 s.
 constexpr milliseconds full_grace(3'800);
 
-/** One request of a client. */
-struct client_request
-{
-    std::string id;
-    bool is_unsafe = false;
-    bool is_sent = false;  ///< the whole of it
-    unsigned status = 0;   ///< 0: the connection closed before the answer
-    std::string error{};   ///< of the connection
-    std::size_t entry = 0; ///< index of the host
-    std::uint64_t begun_ms = wall_clock_ms();
-    time_point begun = steady_clock::now();
-    duration ended_after{};
-};
-
-/** Clients that pipeline requests on kept connections. */
-class pipelining_clients
-{
-public:
-    pipelining_clients(mesh_system& system, random_source& random)
-        : m_system(system)
-        , m_random(random)
-    {
-    }
-
-    void start(int count, time_point until)
-    {
-        m_open = count;
-        for (int i = 0; i < count; ++i)
-            m_system.on().spawn([this, until] { run(until); });
-    }
-
-    int open() const noexcept { return m_open; }
-    const std::deque<client_request>& requests() const { return m_requests; }
-
-private:
-    void run(time_point until)
-    {
-        while (steady_clock::now() < until)
-        {
-            const auto entry = m_random.below(m_system.hosts().size());
-            auto& host = m_system.hosts()[entry];
-            auto stream = connect_stream(m_system.on().io(), host.at["caller"],
-                                         std::chrono::seconds(1));
-            if (stream)
-                use(**stream, entry, until);
-            else
-                sleep_for(m_system.on().io(), milliseconds(50));
-        }
-        --m_open;
-    }
-
-    /** Sends requests until the connection closes. */
-    void use(tcp_stream& stream, std::size_t entry, time_point until)
-    {
-        boost::beast::flat_buffer buffer;
-        while (steady_clock::now() < until)
-        {
-            std::vector<client_request*> sent;
-            const auto count = 1 + m_random.below(3);
-            for (std::uint64_t i = 0; i < count; ++i)
-                sent.push_back(&send(stream, entry));
-            for (auto* each : sent)
-                if (!read_answer(stream, buffer, *each))
-                    return;
-            sleep_for(m_system.on().io(), milliseconds(m_random.below(150)));
-        }
-    }
-
-    client_request& send(tcp_stream& stream, std::size_t entry)
-    {
-        auto& made = m_requests.emplace_back();
-        made.id = "r-" + std::to_string(m_requests.size());
-        made.entry = entry;
-        made.is_unsafe = m_random.below(2) == 0;
-        const auto text =
-            std::string("GET ") + (made.is_unsafe ? "/sales/x" : "/fields/x") +
-            " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Attempt-Id: " +
-            made.id + "\r\nX-Deadline-Ms: " + std::to_string(time_left_ms) +
-            "\r\n\r\n";
-        // Sometimes the request arrives in two parts, or stalls.
-        const auto first =
-            m_random.below(8) == 0 ? m_random.below(text.size()) : 0;
-        made.is_sent = write(stream, text.substr(0, first));
-        if (first > 0)
-            sleep_for(m_system.on().io(),
-                      m_random.below(8) == 0
-                          ? stall
-                          : milliseconds(m_random.below(200)));
-        made.is_sent = made.is_sent && write(stream, text.substr(first));
-        return made;
-    }
-
-    static bool write(tcp_stream& stream, const std::string& bytes)
-    {
-        boost::system::error_code failed;
-        stream.expires_after(std::chrono::seconds(5));
-        boost::asio::async_write(stream, boost::asio::buffer(bytes),
-                                 await{failed});
-        return !failed;
-    }
-
-    /** @return whether the connection may be used on. */
-    bool read_answer(tcp_stream& stream,
-                     boost::beast::flat_buffer& buffer,
-                     client_request& into)
-    {
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(2 * max_body);
-        boost::system::error_code failed;
-        // Some clients are slow to read.
-        if (m_random.below(4) == 0)
-            sleep_for(m_system.on().io(), milliseconds(m_random.below(300)));
-        stream.expires_after(std::chrono::seconds(8));
-        http::async_read(stream, buffer, parser, await{failed});
-        into.ended_after = steady_clock::now() - into.begun;
-        into.error = failed ? failed.message() : "";
-        if (failed)
-            return false;
-        into.status = parser.get().result_int();
-        return parser.get().keep_alive();
-    }
-
-    mesh_system& m_system;
-    random_source& m_random;
-    std::deque<client_request> m_requests; ///< references stay valid
-    int m_open = 0;
-};
-
 /** Signals and changes drawn from a seed; those of different hosts overlap. */
 class planned_work
 {
@@ -345,7 +212,10 @@
                              "/health");
             system.start();
             random_source random(seed);
-            pipelining_clients clients(system, random);
+            pipelining_clients clients(
+                system, random,
+                {.routes = {{"/sales/x", true}, {"/fields/x"}},
+                 .stall = stall});
             const auto until = steady_clock::now() + span;
             clients.start(3 * static_cast<int>(host_count(4)), until);
             planned_work work(system, random);
