A call counts as not run only with a proof; logs tell its sends apart

Twenty places could set that end; nothing but reading showed that each may.

- call_outcome: the end not_run is made from a not_run_proof only (not_sent, not_written, discarded, target_refusal; unnamed for an owner of an earlier release).
Setting the constant without one does not compile; a value from another node without a known proof is marked.
A refusal is promised to the client only if no try of the call lacks a proof.
The proof crosses the hop.
- call_failed names proof, sends, target, connection, place on that connection and skipped responses.
The new line call_sent_again does so for a refusal of an unsafe call that is then sent again.
- tillerhall_not_run_total{proof} and tillerhall_skipped_responses_total{during}.

The two unit tests that set not_run from a list of ends did not compile any more; they now name proofs, and check that each crosses the hop.

--- a/include/tillerhall/http/exchange.hpp
+++ b/include/tillerhall/http/exchange.hpp
@@ -17,11 +17,12 @@
 /** How an exchange ended. */
 enum class exchange_end
 {
-    answered,  ///< a complete response with the request's id arrived
-    not_sent,  ///< the request cannot have been handled
-    unknown,   ///< the request may have arrived; no complete response did
-    timed_out, ///< as `unknown`, after the deadline
-    cancelled  ///< the client disconnected
+    answered,    ///< a complete response with the request's id arrived
+    not_written, ///< no byte of the request was accepted for sending
+    discarded,   ///< the peer discards the request with the connection
+    unknown,     ///< the request may have arrived; no complete response did
+    timed_out,   ///< as `unknown`, after the deadline
+    cancelled    ///< the client disconnected
 };
 
 std::string_view name_of(exchange_end end) noexcept;
--- a/include/tillerhall/http/pooled_stream.hpp
+++ b/include/tillerhall/http/pooled_stream.hpp
@@ -23,7 +23,9 @@
     /** Requests with an id that one connection carries. */
     static constexpr std::size_t max_requests = 256;
 
-    explicit pooled_stream(std::unique_ptr<tcp_stream> stream);
+    /** @param number tells the connections of a pool apart in logs */
+    explicit pooled_stream(std::unique_ptr<tcp_stream> stream,
+                           std::uint64_t number = 0);
 
     tcp_stream& operator*() const noexcept { return *m_stream; }
     tcp_stream* operator->() const noexcept { return m_stream.get(); }
@@ -35,6 +37,11 @@
     /** Records that a request with this id will be sent. */
     void add_carried(std::string_view request_id);
 
+    std::uint64_t number() const noexcept { return m_number; }
+
+    /** @return the number of requests with an id that it has carried. */
+    std::size_t carried() const noexcept { return m_carried.size(); }
+
     /** @return whether it has carried as many requests as it may. */
     bool is_used_up() const noexcept
     {
@@ -43,6 +50,7 @@
 
 private:
     std::unique_ptr<tcp_stream> m_stream;
+    std::uint64_t m_number;
     std::vector<std::uint32_t> m_carried; ///< hashes of ids
 };
 
--- a/include/tillerhall/http/stream_pool.hpp
+++ b/include/tillerhall/http/stream_pool.hpp
@@ -82,7 +82,8 @@
     void drop_expired(time_point now);
 
     std::map<address, std::vector<idle_stream>> m_idle;
-    time_point m_last_sweep{}; ///< time of the last drop_expired
+    time_point m_last_sweep{};  ///< time of the last drop_expired
+    std::uint64_t m_opened = 0; ///< streams opened so far
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -104,7 +104,9 @@
         unsigned common_refusals = 0;
         /** See `retry_after_of`. */
         duration retry_after = duration::max();
-        bool may_have_run = false; ///< in a try with an unknown outcome
+        unsigned sends = 0; ///< to targets, repeats included
+        std::optional<last_send> sent;
+        bool may_have_run = false; ///< in a try without proof that it did not
         bool is_canary = false;    ///< the current try goes to a canary target
         bool has_parent = false; ///< made by an active run of the local target
         bool is_retry_paid = false; ///< for the next send to a target
--- a/include/tillerhall/proxy/entry_log.hpp
+++ b/include/tillerhall/proxy/entry_log.hpp
@@ -23,6 +23,8 @@
     unsigned targets_reached = 0;
     std::size_t owners_tried = 0;    ///< before the last one
     std::size_t targets_crashed = 0; ///< while the call ran there
+    unsigned sends = 0;              ///< to targets, repeats included
+    std::optional<last_send> sent;   ///< unset if no target was reached
     std::string fingerprint;         ///< set if the outcome is unknown
 };
 
@@ -41,6 +43,10 @@
                        const call_progress& progress,
                        const owner_answer& answer);
 
+    /** Logs a line if a target has refused an unsafe call, which is then sent
+     * again. */
+    void call_sent_again(const owner_call& call, const owner_answer& refusal);
+
     /** Counts a call that was refused without asking an owner. */
     void call_refused(const std::string& reason);
 
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -1,7 +1,9 @@
 /** @file Calls from an entry to an owner, the answers, and both as HTTP. */
 #pragma once
 
+#include "tillerhall/http/exchange.hpp"
 #include "tillerhall/http/whole_message.hpp"
+#include "tillerhall/proxy/call_outcome.hpp"
 #include "tillerhall/proxy/target_constraints.hpp"
 #include "tillerhall/routing/call_route.hpp"
 #include "tillerhall/routing/target_board.hpp"
@@ -15,18 +17,6 @@
 namespace tillerhall
 {
 
-/** How a call ended, as far as is known. */
-enum class call_end
-{
-    answered,  ///< the target gave a complete answer
-    not_run,   ///< it did not run and will not
-    unknown,   ///< it may have run
-    timed_out, ///< it may have run; its deadline has passed
-    cancelled  ///< by its client, or by a stop of the entry
-};
-
-std::string_view name_of(call_end end) noexcept;
-
 /** A call that an entry forwards to the owner of a target. */
 struct owner_call
 {
@@ -113,10 +103,19 @@
     return status >= server_errors;
 }
 
+/** How a call was sent to a target last, for logs. */
+struct last_send
+{
+    std::string target;           ///< its start, see `target_report`
+    std::uint64_t connection = 0; ///< number of the connection at its owner
+    std::size_t place = 0;        ///< of the request on the connection, from 1
+    unsigned skipped = 0; ///< responses to other requests that were skipped
+};
+
 /** The outcome of a call. */
 struct owner_answer
 {
-    call_end end = call_end::unknown;
+    call_outcome end = call_end::unknown;
     std::optional<whole_response> response; ///< the target's, if answered
     std::string reason;                     ///< set unless answered
     bool reached = false; ///< the target has, or may have, seen the call
@@ -127,10 +126,19 @@
     bool target_crashed = false; ///< while the call ran there
     duration retry_after{};      ///< for a refusal
     bool return_handled = false; ///< see `owner_call`
+    /** The owner's last send of the call; unset if there was none, or if the
+     * target answered. */
+    std::optional<last_send> sent;
     load_report report;
     std::optional<target_constraints> constraints; ///< of the target
 };
 
+/** @return the outcome of a call after one send that ended so. */
+call_outcome outcome_of(exchange_end end) noexcept;
+
+/** @return whether the receiver has, or may have, handled the request. */
+bool is_handed_over(exchange_end end) noexcept;
+
 /** Reason of the outcome of a call that its node ended to stop in time. */
 inline constexpr const char* ended_with_node =
     "this node ended before the answer came";
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -297,6 +297,8 @@
     std::int64_t usable_slots(std::int64_t slots) const;
     /** @return the load of the slots of @p target, with foreign runs. */
     double slot_load(const target_report& target) const;
+    /** Counts responses to other requests, skipped in an exchange. */
+    void count_skipped(unsigned responses, const char* during);
     /** Applies what the target says about itself in a response. */
     void take_notice(const target_report& target,
                      const whole_response& response,
--- a/include/tillerhall/proxy/wire_names.hpp
+++ b/include/tillerhall/proxy/wire_names.hpp
@@ -76,7 +76,14 @@
 inline constexpr const char* claim = "Tillerhall-Claim";
 // In an owner's answer:
 inline constexpr const char* end = "Tillerhall-End"; ///< name of a `call_end`
+/** With the end `not_run`: name of a `not_run_proof`. */
+inline constexpr const char* proof = "Tillerhall-Proof";
 inline constexpr const char* reached = "Tillerhall-Reached"; ///< "1" or "0"
+// The last send of the call to the target, see `last_send`:
+inline constexpr const char* sent_to = "Tillerhall-Sent-To";
+inline constexpr const char* connection = "Tillerhall-Connection";
+inline constexpr const char* place = "Tillerhall-Place";
+inline constexpr const char* skipped = "Tillerhall-Skipped"; ///< if not 0
 inline constexpr const char* load = "Tillerhall-Load";
 inline constexpr const char* run_ms = "Tillerhall-Run-Ms";
 inline constexpr const char* slots = "Tillerhall-Slots";
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -21,8 +21,9 @@
 /** Reads a whole response. */
 using response_parser = http::response_parser<http::string_body>;
 
-constexpr std::array<std::string_view, 5> end_names{
-    "answered", "not_sent", "unknown", "timed_out", "cancelled"};
+constexpr std::array<std::string_view, 6> end_names{"answered",  "not_written",
+                                                    "discarded", "unknown",
+                                                    "timed_out", "cancelled"};
 constexpr std::uint32_t max_response_head_bytes = 32 * 1024;
 constexpr std::uint64_t max_response_body_bytes = 64 * 1024 * 1024;
 // Limit of a body of unknown length, which may have no end: reading it takes
@@ -101,7 +102,7 @@
             if (failed)
                 return fail(failed, not_whole);
             if (is_goaway(parser))
-                return refuse();
+                return discard();
             if (!is_final(parser))
                 ++interim;
             else if (parser.get()[m_plan.id_field] == m_plan.id)
@@ -179,9 +180,9 @@
                parser.get().count(m_plan.goaway_field) != 0;
     }
 
-    void refuse()
+    void discard()
     {
-        m_is_refused = true;
+        m_is_discarded = true;
         fail({}, "the peer closes the connection");
     }
 
@@ -218,8 +219,10 @@
         }
         if (m_scope.is_cancelled())
             return result_of(exchange_end::cancelled, "the client left");
-        if (m_is_refused || (m_bytes_out == 0 && m_write_failed))
-            return result_of(exchange_end::not_sent, m_result.detail);
+        if (m_is_discarded)
+            return result_of(exchange_end::discarded, m_result.detail);
+        if (m_bytes_out == 0 && m_write_failed)
+            return result_of(exchange_end::not_written, m_result.detail);
         return result_of(m_timed_out ? exchange_end::timed_out
                                      : exchange_end::unknown,
                          m_result.detail);
@@ -243,7 +246,7 @@
     bool m_write_failed = false;
     bool m_timed_out = false;
     bool m_keep_alive = false;
-    bool m_is_refused = false;
+    bool m_is_discarded = false;
 };
 
 } // namespace
--- a/src/http/pooled_stream.cpp
+++ b/src/http/pooled_stream.cpp
@@ -16,8 +16,10 @@
 
 } // namespace
 
-pooled_stream::pooled_stream(std::unique_ptr<tcp_stream> stream)
+pooled_stream::pooled_stream(std::unique_ptr<tcp_stream> stream,
+                             std::uint64_t number)
     : m_stream(std::move(stream))
+    , m_number(number)
 {
 }
 
--- a/src/http/stream_pool.cpp
+++ b/src/http/stream_pool.cpp
@@ -63,7 +63,7 @@
         return opened.reason();
     if (m_user_timeout > duration::zero())
         set_user_timeout(**opened, m_user_timeout);
-    return pooled_stream(std::move(*opened));
+    return pooled_stream(std::move(*opened), ++m_opened);
 }
 
 result<pooled_stream> stream_pool::take(const address& to,
@@ -92,7 +92,8 @@
             opened = connect_stream(m_io, to, timeout, m_from_ip, failed);
     }
     if (opened)
-        give_back(to, pooled_stream(std::move(*opened)), usable_for);
+        give_back(to, pooled_stream(std::move(*opened), ++m_opened),
+                  usable_for);
     return failed;
 }
 
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -283,7 +283,7 @@
     if (steady_clock::now() + min_time_left >= state.call.deadline)
     {
         owner_answer late;
-        late.end = call_end::not_run;
+        late.end = call_outcome::not_run(not_run_proof::not_sent);
         late.reason = read_too_late;
         late.retry_after = retry_without_target;
         return late;
@@ -304,7 +304,7 @@
 {
     std::optional<owner_answer> failure; // answer of a target that is retried
     owner_answer last;
-    last.end = call_end::not_run;
+    last.end = call_outcome::not_run(not_run_proof::not_sent);
     last.reason = "no target of this service takes work";
     last.retry_after = retry_without_target;
     while (!scope.is_cancelled_now())
@@ -449,7 +449,7 @@
                                              cancel_scope& scope)
 {
     owner_answer refused;
-    refused.end = call_end::not_run;
+    refused.end = call_outcome::not_run(not_run_proof::not_sent);
     refused.reason = crashes_its_targets;
     refused.retry_after = quarantine.left;
     const auto view = m_board.targets.get();
@@ -500,6 +500,7 @@
         .get("tillerhall_repeats_total",
              "service=\"" + state.call.service + "\"")
         .add();
+    m_log.call_sent_again(state.call, last);
     return true;
 }
 
@@ -532,8 +533,11 @@
     if (state.targets_reached >= state.route->max_targets ||
         state.tried.size() + 1 >= max_owners_tried)
         return false;
-    return is_worth_retrying(request, state, last) &&
-           take_retry_budget(state, last);
+    if (!is_worth_retrying(request, state, last) ||
+        !take_retry_budget(state, last))
+        return false;
+    m_log.call_sent_again(state.call, last);
+    return true;
 }
 
 bool call_entry::may_others_admit(const call_state& state)
@@ -595,8 +599,11 @@
     if (answer.reached)
     {
         ++state.targets_reached;
+        ++state.sends;
         state.is_retry_paid = false;
     }
+    if (answer.sent)
+        state.sent = answer.sent;
     if (answer.target_crashed)
         state.crashed_at.push_back(owner.rpc);
     if (answer.others_would_refuse)
@@ -609,9 +616,7 @@
         if (!is_failure(answer))
             m_recent_good_calls.ran(request.message);
     }
-    state.may_have_run = state.may_have_run ||
-                         answer.end == call_end::unknown ||
-                         answer.end == call_end::timed_out;
+    state.may_have_run |= answer.end != call_end::not_run;
     return answer;
 }
 
@@ -678,6 +683,7 @@
     m_log.call_finished(
         state.call, state.begin,
         {state.targets_reached, state.tried.size(), state.crashed_at.size(),
+         state.sends, state.sent,
          is_unknown ? fingerprint_of(request).text() : std::string()},
         answer);
 }
--- a/src/proxy/call_entry_peers.cpp
+++ b/src/proxy/call_entry_peers.cpp
@@ -1,7 +1,6 @@
 /** @file The part of the entry that sends calls to owners on other hosts. */
 #include "tillerhall/proxy/call_entry.hpp"
 
-#include <array>
 #include <boost/beast/http.hpp>
 
 namespace tillerhall
@@ -66,7 +65,7 @@
                                       cancel_scope& scope)
 {
     owner_answer failed;
-    failed.end = call_end::not_run;
+    failed.end = call_outcome::not_run(not_run_proof::not_sent);
     failed.retry_after = retry_without_target;
     auto now = steady_clock::now();
     const auto left = state.call.deadline - now;
@@ -102,15 +101,11 @@
         m_pool.give_back(owner.peer, std::move(*stream), idle_kept);
     if (result.end == exchange_end::answered)
         return from_hop_response(std::move(*result.response));
-    if (result.end == exchange_end::unknown ||
-        result.end == exchange_end::not_sent)
+    failed.reached = is_handed_over(result.end);
+    if (result.end == exchange_end::unknown || !failed.reached)
         m_report_unreachable(owner.rpc);
     failed.reason = result.detail;
-    failed.reached = result.end != exchange_end::not_sent;
-    constexpr std::array ends{call_end::answered, call_end::not_run,
-                              call_end::unknown, call_end::timed_out,
-                              call_end::cancelled};
-    failed.end = ends[static_cast<std::size_t>(result.end)];
+    failed.end = outcome_of(result.end);
     return failed;
 }
 
--- a/src/proxy/entry_log.cpp
+++ b/src/proxy/entry_log.cpp
@@ -4,6 +4,21 @@
 
 namespace tillerhall
 {
+namespace
+{
+
+/** Adds what tells this send of the call from its other sends. */
+void add_send(boost::json::object& line, const std::optional<last_send>& sent)
+{
+    if (!sent)
+        return;
+    line["target"] = sent->target;
+    line["connection"] = sent->connection;
+    line["place"] = sent->place;
+    line["skipped"] = sent->skipped;
+}
+
+} // namespace
 
 entry_log::entry_log(blackboard& board, const address& own, const worker& on)
     : m_board(board)
@@ -42,6 +57,20 @@
         .add();
 }
 
+void entry_log::call_sent_again(const owner_call& call,
+                                const owner_answer& refusal)
+{
+    if (may_repeat(call.kind) || !refusal.sent)
+        return;
+    boost::json::object line{{"id", call.request_id},
+                             {"service", call.service},
+                             {"reason", refusal.reason},
+                             {"proof", name_of(refusal.end.proof())}};
+    add_send(line, refusal.sent);
+    m_board.call_lines.write(log_level::info, "call_sent_again",
+                             std::move(line));
+}
+
 void entry_log::call_finished(const owner_call& call,
                               const call_start& begin,
                               const call_progress& progress,
@@ -57,20 +86,29 @@
     if (answer.end == call_end::answered)
         return m_board.metrics.histogram("tillerhall_call_ms", service_label)
             .record(static_cast<double>(took));
-    m_board.call_lines.write(log_level::info, "call_failed",
-                             {{"id", call.request_id},
-                              {"service", call.service},
-                              {"end", name_of(answer.end)},
-                              {"reason", answer.reason},
-                              {"took_ms", took},
-                              {"waited_ms", to_ms(begin.waited)},
-                              {"busy_ms", to_ms(begin.busy_for)},
-                              {"targets_reached", progress.targets_reached},
-                              {"owners_tried", progress.owners_tried},
-                              {"targets_ended", progress.targets_crashed},
-                              {"call", progress.fingerprint},
-                              {"load", answer.report.load.value_or(-1)},
-                              {"routes", m_board.call_map.get()->version()}});
+    const auto proof = name_of(answer.end.proof());
+    if (answer.end == call_end::not_run)
+        m_board.metrics
+            .get("tillerhall_not_run_total",
+                 "proof=\"" + std::string(proof) + "\"")
+            .add();
+    boost::json::object line{{"id", call.request_id},
+                             {"service", call.service},
+                             {"end", name_of(answer.end)},
+                             {"reason", answer.reason},
+                             {"proof", proof},
+                             {"took_ms", took},
+                             {"waited_ms", to_ms(begin.waited)},
+                             {"busy_ms", to_ms(begin.busy_for)},
+                             {"targets_reached", progress.targets_reached},
+                             {"owners_tried", progress.owners_tried},
+                             {"targets_ended", progress.targets_crashed},
+                             {"sends", progress.sends},
+                             {"call", progress.fingerprint},
+                             {"load", answer.report.load.value_or(-1)},
+                             {"routes", m_board.call_map.get()->version()}};
+    add_send(line, progress.sent);
+    m_board.call_lines.write(log_level::info, "call_failed", std::move(line));
 }
 
 } // namespace tillerhall
--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -13,8 +13,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::array<std::string_view, 5> end_names{
-    "answered", "not_run", "unknown", "timed_out", "cancelled"};
 constexpr std::array call_fields{
     hop_field::service,        hop_field::kind,
     hop_field::rank,           hop_field::origin,
@@ -33,7 +31,9 @@
     hop_field::retry_after_ms,  hop_field::others_refuse,
     hop_field::target_crashed,  hop_field::with_room,
     hop_field::slowness,        hop_field::return_handled,
-    hop_field::incoming};
+    hop_field::incoming,        hop_field::proof,
+    hop_field::sent_to,         hop_field::connection,
+    hop_field::place,           hop_field::skipped};
 
 /** Name of a field that the receiver removes, since it is in @p list; another
  * name does not compile. */
@@ -71,6 +71,12 @@
     response.set(field.name(), value);
 }
 
+void remove_answer_fields(whole_response& response)
+{
+    for (const auto* name : answer_fields)
+        response.erase(name);
+}
+
 constexpr unsigned refusal_status = 503;
 
 template <class Number>
@@ -84,6 +90,26 @@
     return number;
 }
 
+void write_last_send(whole_response& response, const last_send& sent)
+{
+    set_field(response, hop_field::sent_to, sent.target);
+    set_field(response, hop_field::connection, std::to_string(sent.connection));
+    set_field(response, hop_field::place, std::to_string(sent.place));
+    if (sent.skipped > 0)
+        set_field(response, hop_field::skipped, std::to_string(sent.skipped));
+}
+
+std::optional<last_send> last_send_in(const whole_response& response)
+{
+    if (response.count(hop_field::sent_to) == 0)
+        return std::nullopt;
+    return last_send{
+        std::string(response[hop_field::sent_to]),
+        number_in<std::uint64_t>(response[hop_field::connection]).value_or(0),
+        number_in<std::size_t>(response[hop_field::place]).value_or(0),
+        number_in<unsigned>(response[hop_field::skipped]).value_or(0)};
+}
+
 std::string tenths(double number)
 {
     constexpr double ten = 10;
@@ -118,9 +144,21 @@
 
 } // namespace
 
-std::string_view name_of(call_end end) noexcept
+call_outcome outcome_of(exchange_end end) noexcept
+{
+    constexpr std::array outcomes{
+        call_outcome(call_end::answered),
+        call_outcome::not_run(not_run_proof::not_written),
+        call_outcome::not_run(not_run_proof::discarded),
+        call_outcome(call_end::unknown),
+        call_outcome(call_end::timed_out),
+        call_outcome(call_end::cancelled)};
+    return outcomes[static_cast<std::size_t>(end)];
+}
+
+bool is_handed_over(exchange_end end) noexcept
 {
-    return end_names[static_cast<std::size_t>(end)];
+    return end != exchange_end::not_written && end != exchange_end::discarded;
 }
 
 bool limit_deadline(owner_call& call, time_point calls_end)
@@ -273,6 +311,10 @@
     response.erase(hop_field::goaway); // a target may have sent one
     response.set(id_field, call.request_id);
     set_field(response, hop_field::end, name_of(answer.end));
+    if (answer.end == call_end::not_run)
+        set_field(response, hop_field::proof, name_of(answer.end.proof()));
+    if (answer.sent)
+        write_last_send(response, *answer.sent);
     set_field(response, hop_field::reached, answer.reached ? "1" : "0");
     if (answer.report.load)
         set_field(response, hop_field::load, percent(*answer.report.load));
@@ -320,14 +362,13 @@
 {
     owner_answer answer;
     answer.reached = response[hop_field::reached] != "0";
-    const std::string_view end = response[hop_field::end];
-    const auto found = std::ranges::find(end_names, end);
-    if (found == end_names.end())
+    if (response.count(hop_field::end) == 0)
     {
         answer.reason = "the node's answer does not say how the call ended";
         return answer;
     }
-    answer.end = static_cast<call_end>(found - end_names.begin());
+    answer.end = call_outcome::from_names(response[hop_field::end],
+                                          response[hop_field::proof]);
     answer.others_would_refuse = response.count(hop_field::others_refuse) != 0;
     answer.return_handled = response.count(hop_field::return_handled) != 0;
     answer.target_crashed = response.count(hop_field::target_crashed) != 0;
@@ -353,9 +394,11 @@
     answer.report.is_saturated = response.count(hop_field::saturated) != 0;
     answer.constraints = take_constraints(response);
     if (answer.end != call_end::answered)
+    {
+        answer.sent = last_send_in(response);
         return answer;
-    for (const auto* name : answer_fields)
-        response.erase(name);
+    }
+    remove_answer_fields(response);
     answer.response = std::move(response);
     return answer;
 }
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -180,6 +180,7 @@
                              .id_field = m_names.request_id,
                              .bodies = m_bodies};
     auto result = exchange(**stream, request, plan, scope);
+    count_skipped(result.skipped, "health_check");
     if (result.reusable)
         m_pool.give_back(target.where, std::move(*stream),
                          duration(default_idle_timeout) - idle_margin);
@@ -423,7 +424,7 @@
     m_board.metrics.get("tillerhall_refused_total", "reason=\"" + reason + "\"")
         .add();
     owner_answer refused;
-    refused.end = call_end::not_run;
+    refused.end = call_outcome::not_run(not_run_proof::not_sent);
     refused.reason = std::move(reason);
     refused.retry_after = m_admission.retry_after();
     refused.report = current_load_for(call.work());
@@ -801,6 +802,9 @@
     if (outstanding->is_given_up() && result.end == exchange_end::unknown)
         result.detail = "the target left the call unanswered";
     outstanding.reset();
+    const last_send sent_as{target.start(), stream->number(), stream->carried(),
+                            result.skipped};
+    count_skipped(result.skipped, "call");
     // 421 is the response of another start at the same address.
     if (result.response && result.response->result_int() != status_misdirected)
         take_notice(target, *result.response, sent_at);
@@ -814,11 +818,22 @@
     const bool lost = result.end == exchange_end::unknown;
     const unsigned status = result.response ? result.response->result_int() : 0;
     auto answer = classify_result(call, std::move(result));
+    if (answer.end != call_end::answered)
+        answer.sent = sent_as;
     note_refusal(target, status, answer);
     answer.target_crashed = lost && has_crashed(target);
     return answer;
 }
 
+void target_owner::count_skipped(unsigned responses, const char* during)
+{
+    if (responses > 0)
+        m_board.metrics
+            .get("tillerhall_skipped_responses_total",
+                 "during=\"" + std::string(during) + "\"")
+            .add(responses);
+}
+
 void target_owner::apply_constraints(const target_constraints& known)
 {
     if (known.is_leaving)
@@ -938,19 +953,16 @@
                                            exchange_result result) const
 {
     owner_answer answer;
-    answer.reached = result.end != exchange_end::not_sent;
+    answer.reached = is_handed_over(result.end);
     answer.reason = result.detail;
-    constexpr std::array ends{call_end::answered, call_end::not_run,
-                              call_end::unknown, call_end::timed_out,
-                              call_end::cancelled};
-    answer.end = ends[static_cast<std::size_t>(result.end)];
+    answer.end = outcome_of(result.end);
     if (answer.end != call_end::answered)
         return answer;
     auto& response = *result.response;
     const auto status = response.result_int();
     if (response.count(m_names.not_run) != 0 || status == status_misdirected)
     {
-        answer.end = call_end::not_run;
+        answer.end = call_outcome::not_run(not_run_proof::target_refusal);
         answer.reason = "refused by the target with " + std::to_string(status);
         answer.retry_after = m_admission.retry_after();
         return answer;
@@ -984,7 +996,7 @@
     owner_call call;
     call.request_id = load_query_id;
     owner_answer answer;
-    answer.end = call_end::not_run;
+    answer.end = call_outcome::not_run(not_run_proof::not_sent);
     answer.report = current_load();
     if (const auto bytes = claimed_bytes(query))
         // Rounded up, because zero grants the slot.
--- a/tests/unit/owner_answer.cpp
+++ b/tests/unit/owner_answer.cpp
@@ -98,8 +98,10 @@
 TEST_CASE("an entry parses an answer as its owner wrote it")
 {
     const auto call = sample_call(steady_clock::now());
-    for (const auto end : {call_end::not_run, call_end::unknown,
-                           call_end::timed_out, call_end::cancelled})
+    for (const call_outcome end :
+         {call_outcome::not_run(not_run_proof::target_refusal),
+          call_outcome(call_end::unknown), call_outcome(call_end::timed_out),
+          call_outcome(call_end::cancelled)})
     {
         owner_answer given;
         given.end = end;
@@ -109,10 +111,17 @@
         given.others_would_refuse = end == call_end::not_run;
         given.refused_with_room = end == call_end::not_run;
         given.return_handled = end == call_end::not_run;
+        given.sent = {"i-1@5", 7, 2, 3};
         given.report = {1.25, 42.5, 12};
         const auto read =
             from_hop_response(to_hop_response(given, call, id_field));
         CHECK(read.end == end);
+        CHECK(read.end.proof() == end.proof());
+        REQUIRE(read.sent);
+        CHECK(read.sent->target == "i-1@5");
+        CHECK(read.sent->connection == 7);
+        CHECK(read.sent->place == 2);
+        CHECK(read.sent->skipped == 3);
         CHECK(read.reason == "why");
         CHECK(read.reached == given.reached);
         CHECK(read.retry_after == milliseconds(80));
@@ -146,7 +155,7 @@
     CHECK(is_load_query(query));
     CHECK_FALSE(is_load_query({http::verb::get, "/", 11}));
     owner_answer answer;
-    answer.end = call_end::not_run;
+    answer.end = call_outcome::not_run(not_run_proof::not_sent);
     answer.report.load = 0.75;
     answer.report.slots = 12;
     answer.report.slowness = 2.5;
@@ -184,6 +193,23 @@
     CHECK(read.reached);
 }
 
+TEST_CASE("a refusal keeps its proof only if that is known")
+{
+    whole_response response(http::status::service_unavailable, 11);
+    response.set(hop_field::end, "not_run");
+    CHECK(from_hop_response(response).end.proof() == not_run_proof::unnamed);
+    for (const auto* proof : {"none", "", "another"})
+    {
+        response.set(hop_field::proof, proof);
+        const auto read = from_hop_response(response);
+        CHECK(read.end == call_end::not_run);
+        CHECK(read.end.proof() == not_run_proof::unnamed);
+    }
+    response.set(hop_field::end, "answered too");
+    response.set(hop_field::proof, "target_refusal");
+    CHECK(from_hop_response(response).end == call_end::unknown);
+}
+
 TEST_CASE("the id of a nested call finds its run while that is active")
 {
     run_registry runs;
--- a/tests/unit/target_notice.cpp
+++ b/tests/unit/target_notice.cpp
@@ -136,8 +136,10 @@
     answer.constraints = target_constraints{"i-1", 5.0, false};
     memory.answered(owner, answer);
     answer.constraints.reset();
-    for (const auto end : {call_end::not_run, call_end::unknown,
-                           call_end::timed_out, call_end::cancelled})
+    for (const call_outcome end :
+         {call_outcome::not_run(not_run_proof::not_sent),
+          call_outcome(call_end::unknown), call_outcome(call_end::timed_out),
+          call_outcome(call_end::cancelled)})
     {
         answer.end = end;
         memory.answered(owner, answer);
