A target's response cannot carry the fields between nodes

What callers could see: a target on another host that answers an unsafe call with Tillerhall-With-Room, for instance since it copies fields that it got from elsewhere, had its call sent to it again: the entry read the field as its owner's word that the call was refused with free slots.

Cause: to_hop_response writes some fields only if they are set and left those of the target in place otherwise.

The owner now removes all of these fields before it writes its own.

--- a/src/proxy/owner_answer.cpp
+++ b/src/proxy/owner_answer.cpp
@@ -308,7 +308,9 @@
         answer.response
             ? std::move(*answer.response)
             : whole_response(static_cast<http::status>(refusal_status), 11);
-    response.erase(hop_field::goaway); // a target may have sent one
+    // A target may have sent such fields.
+    response.erase(hop_field::goaway);
+    remove_answer_fields(response);
     response.set(id_field, call.request_id);
     set_field(response, hop_field::end, name_of(answer.end));
     if (answer.end == call_end::not_run)
--- a/tests/unit/owner_answer.cpp
+++ b/tests/unit/owner_answer.cpp
@@ -210,6 +210,34 @@
     CHECK(from_hop_response(response).end == call_end::unknown);
 }
 
+// Guards against a target's field that makes an entry send an answered call
+// again.
+TEST_CASE("a target's response carries no fields of owners to the entry")
+{
+    owner_answer given;
+    given.end = call_end::answered;
+    given.reached = true;
+    given.response.emplace(http::status::ok, 11);
+    for (const auto* field :
+         {hop_field::with_room, hop_field::target_crashed,
+          hop_field::others_refuse, hop_field::return_handled,
+          hop_field::saturated, hop_field::goaway, hop_field::sent_to,
+          hop_field::target_start, hop_field::target_leaving})
+        given.response->set(field, "1");
+    const auto response =
+        to_hop_response(given, sample_call(steady_clock::now()), id_field);
+    CHECK(response.count(hop_field::goaway) == 0);
+    const auto read = from_hop_response(response);
+    CHECK(read.end == call_end::answered);
+    CHECK_FALSE(read.refused_with_room);
+    CHECK_FALSE(read.target_crashed);
+    CHECK_FALSE(read.others_would_refuse);
+    CHECK_FALSE(read.return_handled);
+    CHECK_FALSE(read.report.is_saturated);
+    CHECK_FALSE(read.sent);
+    CHECK_FALSE(read.constraints);
+}
+
 TEST_CASE("the id of a nested call finds its run while that is active")
 {
     run_registry runs;
