Tests keep the ports of nodes and targets that are not running

Shown now: a look at all listeners, three times a second beside five soaks, found one port with listeners of two tests within a minute.

A bound socket that does not listen now keeps each port for as long as its test runs.

--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -104,6 +104,7 @@
     : m_worker(on)
     , m_listener(std::move(*listener::open(on, {"127.0.0.1", 0})))
     , m_where(m_listener->local())
+    , m_reservation(m_where)
     , m_reported_at(m_where)
     , m_id(std::move(id))
     , m_service(std::move(service))
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -1,6 +1,7 @@
 /** @file Stand-in for a target on the users' platform, used by tests. */
 #pragma once
 
+#include "platform_standin/port_reservation.hpp"
 #include "tillerhall/core/random.hpp"
 #include "tillerhall/core/worker.hpp"
 #include "tillerhall/http/api_client.hpp"
@@ -167,6 +168,7 @@
     worker& m_worker;
     std::unique_ptr<listener> m_listener;
     address m_where;
+    port_reservation m_reservation;
     address m_reported_at;
     std::string m_id;
     std::string m_service;
--- a/tests/support/mesh_system.hpp
+++ b/tests/support/mesh_system.hpp
@@ -4,6 +4,7 @@
 #include "system.hpp"
 
 #include "platform_standin/paced_link.hpp"
+#include "platform_standin/port_reservation.hpp"
 #include "platform_standin/reporting_target.hpp"
 #include "platform_standin/store_standin.hpp"
 #include "tillerhall/core/await.hpp"
@@ -93,6 +94,8 @@
     std::string settings_path;
     reporting_target* target = nullptr; ///< kept for its fibers
     std::map<std::string, address> at;  ///< by listener name
+    /** Of these addresses, while the node is not running. */
+    std::vector<std::unique_ptr<port_reservation>> reservations;
 };
 
 /** An answer received by a client. */
@@ -186,8 +189,14 @@
         REQUIRE(started);
         const auto line = host.node.read_listening();
         REQUIRE(line);
+        const bool is_first = host.reservations.empty();
         for (const auto* name : {"rpc", "peer", "caller", "operators", "ready"})
+        {
             host.at[name] = *address::parse(line->at(name).as_string().c_str());
+            if (is_first)
+                host.reservations.push_back(
+                    std::make_unique<port_reservation>(host.at[name]));
+        }
     }
 
     bool wait_until(const std::function<bool()>& holds,
