Nodes name their version and commit at start and in a metric

Whether a fault is already fixed could not be answered from logs.

The new case of integration-mesh_node was red before.

--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -14,6 +14,7 @@
 #include "tillerhall/node/poison_calls_publisher.hpp"
 #include "tillerhall/node/self_record.hpp"
 #include "tillerhall/node/stop_schedule.hpp"
+#include "tillerhall/observe/build_version.hpp"
 #include "tillerhall/proxy/call_entry.hpp"
 
 #include <algorithm>
@@ -506,6 +507,7 @@
 
 int mesh_node::run()
 {
+    announce_build(m_parts->board.metrics);
     m_parts->compose();
     m_parts->start();
     m_parts->main_worker.run();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,6 +10,7 @@
 #include "tillerhall/node/self_record.hpp"
 #include "tillerhall/node/source_controller.hpp"
 #include "tillerhall/node/target_controller.hpp"
+#include "tillerhall/observe/build_version.hpp"
 #include "tillerhall/store/http_platform.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -285,6 +286,7 @@
 
 int node::run()
 {
+    announce_build(m_parts->board.metrics);
     m_parts->compose();
     m_parts->start_control();
     // Detached: joining a thread would wait for its fibers, most of which wait
--- a/tests/integration/mesh_node.cpp
+++ b/tests/integration/mesh_node.cpp
@@ -119,6 +119,23 @@
         });
 }
 
+// Without it the record of an incident does not tell which build it is of.
+TEST_CASE("a node names its version and commit")
+{
+    on_worker(
+        [](worker& on)
+        {
+            four_hosts system(on);
+            const auto metrics = system.metrics_of(system.hosts()[0]);
+            const auto at = metrics.find("tillerhall_build_info{version=\"");
+            REQUIRE(at != std::string::npos);
+            const auto line = metrics.substr(at, metrics.find('\n', at) - at);
+            CHECK(line.find(",commit=\"") != std::string::npos);
+            CHECK(line.find("commit=\"\"") == std::string::npos);
+            CHECK(line.ends_with("} 1"));
+        });
+}
+
 TEST_CASE("without a configuration a request is refused as not run")
 {
     on_worker(
