--- a/standins/platform_standin/paced_link.cpp
+++ b/standins/platform_standin/paced_link.cpp
@@ -36,12 +36,14 @@
     const auto server = connect_stream(m_worker.io(), m_to, connect_timeout);
     if (!server)
         return;
-    run_parallel(
-        {[&] { pump(client, **server); }, [&] { pump(**server, client); }});
+    run_parallel({[&] { pump(client, **server, link_direction::to_server); },
+                  [&] { pump(**server, client, link_direction::to_client); }});
 }
 
-void paced_link::pump(tcp_stream& source, tcp_stream& sink)
+void paced_link::pump(tcp_stream& source, tcp_stream& sink, link_direction way)
 {
+    constexpr milliseconds poll_interval(10);
+    const auto& is_held = m_is_held[static_cast<std::size_t>(way)];
     std::vector<char> packet(packet_bytes);
     boost::system::error_code failed;
     while (!failed)
@@ -52,6 +54,8 @@
         if (failed)
             break;
         await_turn(bytes);
+        while (is_held)
+            sleep_for(m_worker.io(), poll_interval);
         sink.expires_after(no_timeout);
         boost::asio::async_write(
             sink, boost::asio::buffer(packet.data(), bytes), await{failed});
--- a/standins/platform_standin/paced_link.hpp
+++ b/standins/platform_standin/paced_link.hpp
@@ -4,11 +4,19 @@
 #include "tillerhall/core/worker.hpp"
 #include "tillerhall/http/listener.hpp"
 
+#include <array>
 #include <memory>
 
 namespace tillerhall
 {
 
+/** A direction of a link. */
+enum class link_direction
+{
+    to_server,
+    to_client
+};
+
 /** Forwards connections to a server. The bytes of all of them, in both
  * directions, share one bandwidth. */
 class paced_link
@@ -22,9 +30,15 @@
     /** Sets the bandwidth; 0: unlimited. */
     void set_bytes_per_s(double bytes) noexcept { m_bytes_per_s = bytes; }
 
+    /** Holds back the bytes of one direction, or forwards what it held. */
+    void set_held(link_direction way, bool is_held) noexcept
+    {
+        m_is_held[static_cast<std::size_t>(way)] = is_held;
+    }
+
 private:
     void serve(tcp_stream& client);
-    void pump(tcp_stream& source, tcp_stream& sink);
+    void pump(tcp_stream& source, tcp_stream& sink, link_direction way);
     /** Waits until the link has sent @p bytes behind all earlier ones. */
     void await_turn(std::size_t bytes);
 
@@ -32,6 +46,7 @@
     address m_to;
     std::unique_ptr<listener> m_listener;
     double m_bytes_per_s = 0;
+    std::array<bool, 2> m_is_held{}; ///< by `link_direction`
     time_point m_free_at{}; ///< when the link has sent all bytes so far
 };
 
--- a/standins/platform_standin/port_reservation.hpp
+++ b/standins/platform_standin/port_reservation.hpp
@@ -14,14 +14,18 @@
 class port_reservation
 {
 public:
+    /** @param where port 0 takes any free port */
     explicit port_reservation(const address& where);
     ~port_reservation();
 
     port_reservation(const port_reservation&) = delete;
     port_reservation& operator=(const port_reservation&) = delete;
 
+    const address& where() const noexcept { return m_where; }
+
 private:
     int m_socket;
+    address m_where;
 };
 
 } // namespace tillerhall
--- a/tests/integration/refused_calls_soak.cpp
+++ b/tests/integration/refused_calls_soak.cpp
@@ -1,5 +1,5 @@
 /** @file Targets that reject, repeat, lose and garble responses, beside faults
- * of nodes and of the store.
+ * of nodes, of the links between them and of the store.
  *
  * Guards against calls that run although they were refused, against unsafe
  * calls that run twice, and against answers that belong to another request. */
@@ -22,11 +22,16 @@
 constexpr std::size_t max_upload = 120'000;
 constexpr std::size_t clients_per_host = 5;
 
-const std::vector<mesh_route> routes{{"fields", "/fields/", "perceel"},
-                                     {"sales", "/sales/", "beurs", "unsafe"},
-                                     {"prices", "/prices/", "beurs"},
-                                     {"photos", "/photos/", "schuur", "upload"},
-                                     {"stock", "/stock/", "schuur"}};
+/** @return the routes; that of bids leads to @p service. */
+std::vector<mesh_route> routes_with(const std::string& service)
+{
+    return {{"fields", "/fields/", "perceel"},
+            {"sales", "/sales/", "beurs", "unsafe"},
+            {"bids", "/bids/", service, "unsafe"},
+            {"prices", "/prices/", "beurs"},
+            {"photos", "/photos/", "schuur", "upload"},
+            {"stock", "/stock/", "schuur"}};
+}
 
 /** Two hosts in four are of the service with unsafe calls. */
 std::vector<std::string> services_of(std::size_t hosts)
@@ -63,11 +68,12 @@
     {
         auto& host = m_system.hosts()[m_random.below(m_system.hosts().size())];
         constexpr std::array actions{
-            &disturbances::reject,     &disturbances::reject,
-            &disturbances::copy,       &disturbances::copy,
-            &disturbances::lose,       &disturbances::garble,
-            &disturbances::fail,       &disturbances::restart_target,
-            &disturbances::slow_down,  &disturbances::reload,
+            &disturbances::reject,      &disturbances::reject,
+            &disturbances::copy,        &disturbances::copy,
+            &disturbances::lose,        &disturbances::garble,
+            &disturbances::fail,        &disturbances::restart_target,
+            &disturbances::slow_down,   &disturbances::limit_rate,
+            &disturbances::cut_one_way, &disturbances::reload,
             &disturbances::reconfigure};
         (this->*actions[m_random.below(actions.size())])(host);
     }
@@ -79,6 +85,7 @@
         {
             auto& faults = each.target->faults();
             faults.shed_share = faults.copy_share = faults.failing = 0;
+            faults.unanswered = 0;
         }
     }
 
@@ -146,6 +153,26 @@
         host.target->faults().work = milliseconds(m_random.below(max_work_ms));
     }
 
+    void limit_rate(mesh_host& host)
+    {
+        host.target->faults().rate_limit = m_random.below(3) == 0 ? "20" : "";
+    }
+
+    /** Other nodes reach this one, or get answers from it, with a delay. */
+    void cut_one_way(mesh_host& host)
+    {
+        const auto way = m_random.below(2) == 0 ? link_direction::to_server
+                                                : link_direction::to_client;
+        host.peer_link->set_held(way, true);
+        m_system.on().spawn(
+            [this, &host, way]
+            {
+                sleep_for(m_system.on().io(),
+                          milliseconds(50 + m_random.below(1'500)));
+                host.peer_link->set_held(way, false);
+            });
+    }
+
     /** The target crashes and starts again under its id. */
     void restart_target(mesh_host& host)
     {
@@ -170,7 +197,8 @@
 
     void reconfigure(mesh_host& /*host*/)
     {
-        m_system.configure(++m_version, routes, "/health");
+        const auto* service = m_random.below(2) == 0 ? "beurs" : "schuur";
+        m_system.configure(++m_version, routes_with(service), "/health");
     }
 
     mesh_system& m_system;
@@ -226,7 +254,8 @@
                   [](worker& on, std::uint64_t seed)
                   {
                       mesh_system system(on, services_of(host_count(8)));
-                      system.configure(1, routes, "/health");
+                      system.configure(1, routes_with("beurs"), "/health");
+                      system.link_peers();
                       system.start();
                       random_source random(seed);
                       const auto until = steady_clock::now() + span;
@@ -235,7 +264,7 @@
                       pipelining_clients clients(
                           system, random,
                           {.routes = {{"/sales/x", true, 2'000},
-                                      {"/sales/y", true},
+                                      {"/bids/x", true},
                                       {"/photos/x", true, max_upload},
                                       {"/fields/x"}},
                            .max_pipelined = 1,
--- a/tests/support/mesh_system.hpp
+++ b/tests/support/mesh_system.hpp
@@ -94,6 +94,7 @@
     std::string settings_path;
     reporting_target* target = nullptr; ///< kept for its fibers
     std::map<std::string, address> at;  ///< by listener name
+    paced_link* peer_link = nullptr;    ///< other nodes connect by it, if set
     /** Of these addresses, while the node is not running. */
     std::vector<std::unique_ptr<port_reservation>> reservations;
 };
@@ -149,6 +150,20 @@
         return *m_store_link;
     }
 
+    /** Puts a link before the peer listener of each node. Call it before any
+     * node starts. */
+    void link_peers()
+    {
+        for (auto& each : m_hosts)
+        {
+            each.reservations.push_back(
+                std::make_unique<port_reservation>(address{"127.0.0.1", 0}));
+            each.at["peer"] = each.reservations.back()->where();
+            each.peer_link = &keep_for_fibers(
+                std::make_shared<paced_link>(m_worker, each.at["peer"]));
+        }
+    }
+
     void configure(int version,
                    const std::vector<mesh_route>& routes,
                    const std::string& health_path = {})
@@ -189,13 +204,13 @@
         REQUIRE(started);
         const auto line = host.node.read_listening();
         REQUIRE(line);
-        const bool is_first = host.reservations.empty();
         for (const auto* name : {"rpc", "peer", "caller", "operators", "ready"})
         {
+            if (host.at.contains(name))
+                continue;
             host.at[name] = *address::parse(line->at(name).as_string().c_str());
-            if (is_first)
-                host.reservations.push_back(
-                    std::make_unique<port_reservation>(host.at[name]));
+            host.reservations.push_back(
+                std::make_unique<port_reservation>(host.at[name]));
         }
     }
 
@@ -288,7 +303,11 @@
             (m_store_link == nullptr ? m_store.where() : m_store_link->where())
                 .text();
         file << "  region: r\n  domain: " << host.domain
-             << "\n  stop_grace_s: 4\ntarget:\n  service: " << host.service
+             << "\n  stop_grace_s: 4\n";
+        if (host.peer_link != nullptr)
+            file << "  advertise_peer: " << host.peer_link->where().text()
+                 << "\n";
+        file << "target:\n  service: " << host.service
              << "\n  address: " << host.target->reported_address().text()
              << "\nplatform:\n  tables: " << store << "\n  objects: " << store
              << "\n  hosts: " << store
