--- a/tests/integration/refused_calls_soak.cpp
+++ b/tests/integration/refused_calls_soak.cpp
@@ -246,6 +246,46 @@
     return made;
 }
 
+/** Plays clients, targets and faults drawn from @p seed until all has settled.
+ */
+outcome play(worker& on, std::uint64_t seed)
+{
+    mesh_system system(on, services_of(host_count(8)));
+    system.configure(1, routes_with("beurs"), "/health");
+    system.link_peers();
+    system.start();
+    random_source random(seed);
+    const auto until = steady_clock::now() + span;
+    node_faults faults(system, random);
+    disturbances targets(system, random, until);
+    pipelining_clients clients(system, random,
+                               {.routes = {{"/sales/x", true, 2'000},
+                                           {"/bids/x", true},
+                                           {"/photos/x", true, max_upload},
+                                           {"/fields/x"}},
+                                .max_pipelined = 1,
+                                .heeds_retry_after = true,
+                                .leave_one_in = 40});
+    clients.start(static_cast<int>(clients_per_host * system.hosts().size()),
+                  until);
+    while (steady_clock::now() < until)
+    {
+        if (random.below(8) == 0)
+            faults.inject_random();
+        else
+            targets.inject_random();
+        sleep_for(on.io(), milliseconds(random.below(200)));
+    }
+    REQUIRE(system.wait_until(
+        [&] {
+            return clients.open() == 0 && targets.is_done() &&
+                   faults.active() == 0;
+        }));
+    targets.heal();
+    sleep_for(on.io(), settle_time);
+    return outcome_of(system, clients);
+}
+
 } // namespace
 
 TEST_CASE("refused calls did not run and unsafe ones run once")
@@ -253,42 +293,7 @@
     for_each_seed(2,
                   [](worker& on, std::uint64_t seed)
                   {
-                      mesh_system system(on, services_of(host_count(8)));
-                      system.configure(1, routes_with("beurs"), "/health");
-                      system.link_peers();
-                      system.start();
-                      random_source random(seed);
-                      const auto until = steady_clock::now() + span;
-                      node_faults faults(system, random);
-                      disturbances targets(system, random, until);
-                      pipelining_clients clients(
-                          system, random,
-                          {.routes = {{"/sales/x", true, 2'000},
-                                      {"/bids/x", true},
-                                      {"/photos/x", true, max_upload},
-                                      {"/fields/x"}},
-                           .max_pipelined = 1,
-                           .heeds_retry_after = true,
-                           .leave_one_in = 40});
-                      clients.start(static_cast<int>(clients_per_host *
-                                                     system.hosts().size()),
-                                    until);
-                      while (steady_clock::now() < until)
-                      {
-                          if (random.below(8) == 0)
-                              faults.inject_random();
-                          else
-                              targets.inject_random();
-                          sleep_for(on.io(), milliseconds(random.below(200)));
-                      }
-                      REQUIRE(system.wait_until(
-                          [&] {
-                              return clients.open() == 0 && targets.is_done() &&
-                                     faults.active() == 0;
-                          }));
-                      targets.heal();
-                      sleep_for(on.io(), settle_time);
-                      const auto seen = outcome_of(system, clients);
+                      const auto seen = play(on, seed);
                       std::cout << "seed " << seed << ": " << seen.served
                                 << " served, " << seen.refused << " refused, "
                                 << seen.unknown << " other, "
