Every log line names the build, a 404 the version that was asked; the age of routes is known

Now `no_route` names call, path, version and age, `call_failed` the version that led the call, `routes_unconfirmed` and `routes_confirmed` tell when no newer version can be excluded and who confirmed last, and each line has the commit of the build. A revision of the store counts as read once its rows are applied.

--- a/include/tillerhall/control/route_controller.hpp
+++ b/include/tillerhall/control/route_controller.hpp
@@ -3,6 +3,7 @@
 
 #include "tillerhall/control/routes_update.hpp"
 #include "tillerhall/core/backoff.hpp"
+#include "tillerhall/distribution/confirmed_copy.hpp"
 #include "tillerhall/distribution/store_role.hpp"
 #include "tillerhall/node/mesh_state.hpp"
 #include "tillerhall/store/row_store.hpp"
@@ -86,10 +87,17 @@
     outcome read_row();
     outcome follow_once();
     outcome apply_last(const row_page& page, bool is_whole);
-    /** @param latest latest time at which the store can have answered */
-    void note_answer(std::uint64_t revision, time_point latest);
+    /** @param latest latest time at which the store can have answered
+     * @param current_at the answer holds all changes up to then */
+    void note_answer(std::uint64_t revision,
+                     time_point latest,
+                     time_point current_at);
     void apply(const std::string& value, const char* from);
     void apply_packed(const std::string& packed, const char* from);
+    /** Notes that the routes in force were the newest at @p at. */
+    void confirm(time_point at, const std::string& source);
+    /** Shows the age of the routes, and logs when they may be stale. */
+    void watch_age();
     void note_store(const error* failed);
     void note_role(store_role now);
 
@@ -118,8 +126,10 @@
     std::uint64_t m_applied_revision = 0;  ///< of the row applied last
     std::uint64_t m_announced_version = 0; ///< last sent with its routes
     time_point m_answered{};               ///< by the store, last time
+    confirmed_copy m_confirmed;            ///< of the routes in force
     bool m_has_received_update = false;    ///< from a reader
     bool m_store_lost = false;
+    bool m_may_be_stale = false; ///< the routes in force, as last logged
     bool m_pulling = false;
 };
 
--- a/include/tillerhall/node/blackboard.hpp
+++ b/include/tillerhall/node/blackboard.hpp
@@ -50,6 +50,8 @@
     published<route_view> routes{route_view_ptr(new route_view)};
     /** Routes read from a feed; empty where calls are routed by the table. */
     published<call_routes> call_map{call_routes_ptr(new call_routes)};
+    /** See `confirmed_copy`, of `call_map`. */
+    std::atomic<time_point> routes_confirmed{time_point()};
     published<service_targets> targets{
         service_targets_ptr(new service_targets)};
     published<rollout_view> rollouts{rollout_view_ptr(new rollout_view)};
--- a/include/tillerhall/observe/log.hpp
+++ b/include/tillerhall/observe/log.hpp
@@ -31,7 +31,8 @@
                    log_output to = log_output::standard_error);
 
 /**
- * Writes one line with time, level, @p event and @p fields.
+ * Writes one line with time, level, @p event, commit of the build and
+ * @p fields.
  * For changes of state; events of single calls are counted in metrics.
  */
 void log_event(log_level level,
--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -97,6 +97,7 @@
         call_start begin;
         cancel_scope* scope = nullptr;
         const call_route* route = nullptr;
+        std::uint64_t routes_version = 0; ///< that has the route
         std::vector<address> tried;
         unsigned targets_reached = 0;
         std::vector<address> crashed_at; ///< owners whose target crashed
--- a/include/tillerhall/proxy/entry_log.hpp
+++ b/include/tillerhall/proxy/entry_log.hpp
@@ -21,11 +21,12 @@
 struct call_progress
 {
     unsigned targets_reached = 0;
-    std::size_t owners_tried = 0;    ///< before the last one
-    std::size_t targets_crashed = 0; ///< while the call ran there
-    unsigned sends = 0;              ///< to targets, repeats included
-    std::optional<last_send> sent;   ///< unset if no target was reached
-    std::string fingerprint;         ///< set if the outcome is unknown
+    std::size_t owners_tried = 0;     ///< before the last one
+    std::size_t targets_crashed = 0;  ///< while the call ran there
+    unsigned sends = 0;               ///< to targets, repeats included
+    std::optional<last_send> sent;    ///< unset if no target was reached
+    std::string fingerprint;          ///< set if the outcome is unknown
+    std::uint64_t routes_version = 0; ///< that led the call
 };
 
 /** Records the outcome of calls and the saturation of the processor. */
@@ -47,6 +48,12 @@
      * again. */
     void call_sent_again(const owner_call& call, const owner_answer& refusal);
 
+    /** Logs a line for a call that no route of @p routes leads. */
+    void no_route(const std::string& id,
+                  std::string_view host,
+                  std::string_view target,
+                  const call_routes& routes);
+
     /** Counts a call that was refused without asking an owner. */
     void call_refused(const std::string& reason);
 
--- a/src/control/route_controller.cpp
+++ b/src/control/route_controller.cpp
@@ -54,6 +54,8 @@
 // feed, is announced before it is complete.
 constexpr milliseconds receiving_notice_delay(300);
 
+constexpr milliseconds age_check_interval(200);
+
 // Names in logs and metrics.
 constexpr std::array<std::string_view, 3> role_names{"rely", "follow", "speak"};
 
@@ -84,6 +86,40 @@
 {
     m_started = steady_clock::now();
     m_mesh.on.spawn([this] { follow_loop(); });
+    m_mesh.on.spawn([this] { watch_age(); });
+}
+
+void route_controller::confirm(time_point at, const std::string& source)
+{
+    m_confirmed.confirm(at, source);
+    m_mesh.board.routes_confirmed = m_confirmed.at();
+}
+
+void route_controller::watch_age()
+{
+    auto& gauge = m_mesh.board.metrics.get("tillerhall_routes_age_ms");
+    while (true)
+    {
+        sleep_for(m_mesh.on.io(), age_check_interval);
+        if (!known())
+            continue;
+        const auto now = steady_clock::now();
+        const auto age_ms = to_ms(now - m_confirmed.at());
+        gauge.set(age_ms);
+        const bool may_be_stale =
+            confirmed_copy::may_be_stale(m_confirmed.at(), now);
+        if (may_be_stale == m_may_be_stale)
+            continue;
+        m_may_be_stale = may_be_stale;
+        m_mesh.board.decisions.note(
+            may_be_stale ? "routes_unconfirmed" : "routes_confirmed",
+            m_confirmed.source(),
+            may_be_stale ? "a newer version may be in the store"
+                         : "no newer version is in the store",
+            {{"age_ms", age_ms},
+             {"version", m_mesh.board.call_map.get()->version()},
+             {"duty", role_names[static_cast<std::size_t>(m_last_role)]}});
+    }
 }
 
 void route_controller::note_store(const error* failed)
@@ -112,11 +148,13 @@
     };
     gauge(m_last_role).set(0);
     gauge(now).set(1);
-    m_mesh.board.decisions.note("store_duty", m_mesh.members.self().rpc.text(),
-                                std::string(name(now)),
-                                {{"before", name(m_last_role)},
-                                 {"rank", reader_rank(m_mesh.members)},
-                                 {"members", m_mesh.members.live_count()}});
+    m_mesh.board.decisions.note(
+        "store_duty", m_mesh.members.self().rpc.text(), std::string(name(now)),
+        {{"before", name(m_last_role)},
+         {"age_ms", to_ms(steady_clock::now() - m_confirmed.at())},
+         {"source", m_confirmed.source()},
+         {"rank", reader_rank(m_mesh.members)},
+         {"members", m_mesh.members.live_count()}});
     m_last_role = now;
 }
 
@@ -170,8 +208,11 @@
     return step::read;
 }
 
-void route_controller::note_answer(std::uint64_t revision, time_point latest)
+void route_controller::note_answer(std::uint64_t revision,
+                                   time_point latest,
+                                   time_point current_at)
 {
+    confirm(current_at, "store");
     m_answered = std::min(steady_clock::now(), latest);
     // Makes nodes that start together wait for a reader's update instead of
     // each polling the store.
@@ -190,8 +231,8 @@
     note_store(page ? nullptr : &page.reason());
     if (!page)
         return outcome::failed;
-    note_answer(page->revision, begin + row_store::answer_timeout);
     const auto applied = apply_last(*page, !page->more);
+    note_answer(page->revision, begin + row_store::answer_timeout, begin);
     announce();
     return applied;
 }
@@ -209,8 +250,12 @@
     note_store(page ? nullptr : &page.reason());
     if (!page)
         return outcome::failed;
-    note_answer(page->revision, begin + wait + answer_margin);
     const auto applied = apply_last(*page, false);
+    // Without changes the store has waited before it answered.
+    const bool has_waited =
+        page->rows.empty() && steady_clock::now() >= begin + wait;
+    note_answer(page->revision, begin + wait + answer_margin,
+                has_waited ? begin + wait : begin);
     announce();
     return applied;
 }
@@ -394,6 +439,8 @@
                                steady_clock::now());
     // This node now knows what the reader has read of the store.
     m_revision = std::max(m_revision, update.revision);
+    confirm(steady_clock::now() - milliseconds(update.store_age_ms),
+            update.reader);
     m_role.update_received(
         update.rank, reader_rank(m_mesh.members),
         milliseconds(std::max<std::int64_t>(0, update.store_age_ms)),
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,5 +1,6 @@
 #include "tillerhall/observe/log.hpp"
 #include "tillerhall/core/time.hpp"
+#include "tillerhall/observe/build_version.hpp"
 
 #include <algorithm>
 #include <array>
@@ -67,8 +68,10 @@
     auto root = log4cplus::Logger::getRoot();
     if (!root.isEnabledFor(entry.value))
         return;
-    boost::json::object line{
-        {"time_us", wall_clock_us()}, {"level", entry.name}, {"event", event}};
+    boost::json::object line{{"time_us", wall_clock_us()},
+                             {"level", entry.name},
+                             {"event", event},
+                             {"build", this_build().commit}};
     for (auto& field : fields)
         line.insert_or_assign(field.key(), std::move(field.value()));
     root.log(entry.value, boost::json::serialize(line));
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -150,7 +150,12 @@
         return m_answers.unavailable(id, "this node ends");
     state.route = routes->find(message[http::field::host], message.target());
     if (state.route == nullptr)
+    {
+        m_log.no_route(id, message[http::field::host], message.target(),
+                       *routes);
         return m_answers.not_found(id);
+    }
+    state.routes_version = routes->version();
     const auto& route = *state.route;
     const auto left = time_left_of(message[m_names.time_left]);
     const auto caller = caller_of(message, *routes, route);
@@ -684,7 +689,8 @@
         state.call, state.begin,
         {state.targets_reached, state.tried.size(), state.crashed_at.size(),
          state.sends, state.sent,
-         is_unknown ? fingerprint_of(request).text() : std::string()},
+         is_unknown ? fingerprint_of(request).text() : std::string(),
+         state.routes_version},
         answer);
 }
 
--- a/src/proxy/entry_log.cpp
+++ b/src/proxy/entry_log.cpp
@@ -51,6 +51,23 @@
          {"calls_in_flight", m_board.calls_in_flight.load()}});
 }
 
+void entry_log::no_route(const std::string& id,
+                         std::string_view host,
+                         std::string_view target,
+                         const call_routes& routes)
+{
+    constexpr std::size_t max_shown = 100;
+    m_board.metrics.get("tillerhall_no_route_total").add();
+    m_board.call_lines.write(
+        log_level::info, "no_route",
+        {{"id", id},
+         {"host", host.substr(0, max_shown)},
+         {"path", target.substr(0, target.find('?')).substr(0, max_shown)},
+         {"routes", routes.version()},
+         {"routes_age_ms",
+          to_ms(steady_clock::now() - m_board.routes_confirmed.load())}});
+}
+
 void entry_log::call_refused(const std::string& reason)
 {
     m_board.metrics.get("tillerhall_refused_total", "reason=\"" + reason + "\"")
@@ -106,7 +123,7 @@
                              {"sends", progress.sends},
                              {"call", progress.fingerprint},
                              {"load", answer.report.load.value_or(-1)},
-                             {"routes", m_board.call_map.get()->version()}};
+                             {"routes", progress.routes_version}};
     add_send(line, progress.sent);
     m_board.call_lines.write(log_level::info, "call_failed", std::move(line));
 }
--- a/standins/platform_standin/paced_link.cpp
+++ b/standins/platform_standin/paced_link.cpp
@@ -44,6 +44,8 @@
 {
     constexpr milliseconds poll_interval(10);
     const auto& is_held = m_is_held[static_cast<std::size_t>(way)];
+    const auto is_silent = [this, opened = m_silenced]
+    { return m_silenced != opened; };
     std::vector<char> packet(packet_bytes);
     boost::system::error_code failed;
     while (!failed)
@@ -56,12 +58,15 @@
         await_turn(bytes);
         while (is_held)
             sleep_for(m_worker.io(), poll_interval);
+        if (is_silent())
+            continue;
         sink.expires_after(no_timeout);
         boost::asio::async_write(
             sink, boost::asio::buffer(packet.data(), bytes), await{failed});
     }
     close(source);
-    close(sink);
+    if (!is_silent())
+        close(sink);
 }
 
 void paced_link::await_turn(std::size_t bytes)
--- a/standins/platform_standin/paced_link.hpp
+++ b/standins/platform_standin/paced_link.hpp
@@ -36,6 +36,10 @@
         m_is_held[static_cast<std::size_t>(way)] = is_held;
     }
 
+    /** Makes the open connections silent for good: neither bytes nor the end of
+     * one side reach the other. New connections work. */
+    void silence_open() noexcept { ++m_silenced; }
+
 private:
     void serve(tcp_stream& client);
     void pump(tcp_stream& source, tcp_stream& sink, link_direction way);
@@ -47,6 +51,7 @@
     std::unique_ptr<listener> m_listener;
     double m_bytes_per_s = 0;
     std::array<bool, 2> m_is_held{}; ///< by `link_direction`
+    unsigned m_silenced = 0;         ///< calls of `silence_open`
     time_point m_free_at{}; ///< when the link has sent all bytes so far
 };
 
--- /dev/null
+++ b/tests/integration/stale_routes.cpp
@@ -0,0 +1,106 @@
+/** @file Nodes whose way to newer routes is disturbed, judged by their calls.
+ */
+#include "route_versions.hpp"
+
+using namespace tillerhall;
+using namespace tillerhall::harness;
+
+namespace
+{
+
+// After a version is written it has to be in force at nodes in touch.
+constexpr std::chrono::seconds config_bound(2);
+// After a fault a node has to be in touch again.
+constexpr std::chrono::seconds contact(3);
+
+/** Three domains of three hosts; each node has its own links to the store and
+ * for control messages. */
+struct linked_domains : mesh_system
+{
+    explicit linked_domains(worker& on)
+        : mesh_system(on,
+                      {"beurs", "beurs", "beurs", "schuur", "schuur", "schuur",
+                       "beurs", "beurs", "schuur"})
+        , versions(*this)
+    {
+        use_deployed_heartbeats();
+        link_stores();
+        link_rpc();
+        link_peers();
+        versions.put();
+        start();
+        REQUIRE(wait_until([&] { return readers().size() == 3; }));
+    }
+
+    /** All open connections of nodes to the store and to each other. */
+    void silence_connections()
+    {
+        for (auto& each : hosts())
+            for (auto* link : {each.store_link, each.rpc_link, each.peer_link})
+                link->silence_open();
+    }
+
+    bool is_reader(mesh_host& host)
+    {
+        return metrics_of(host).find(
+                   "tillerhall_store_duty{duty=\"speak\"} 1") !=
+               std::string::npos;
+    }
+
+    /** @return the hosts whose nodes read the store for their domains. */
+    std::vector<mesh_host*> readers()
+    {
+        std::vector<mesh_host*> found;
+        for (auto& each : hosts())
+            if (is_reader(each))
+                found.push_back(&each);
+        return found;
+    }
+
+    /** @return what shows at nodes that run that the newest version is not in
+     * force */
+    std::vector<std::string> faults()
+    {
+        std::vector<std::string> faults;
+        for (std::size_t i = 0; i < hosts().size(); ++i)
+        {
+            auto& host = hosts()[i];
+            if (!host.node.is_running())
+                continue;
+            if (const auto fault = versions.fault_at(host); !fault.empty())
+                faults.push_back("node " + std::to_string(i) + ": " + fault);
+        }
+        return faults;
+    }
+
+    route_versions versions;
+};
+
+} // namespace
+
+TEST_CASE("logs and metrics tell the version, its age and the build")
+{
+    on_worker(
+        [](worker& on)
+        {
+            linked_domains system(on);
+            auto& host = system.hosts().front();
+            CHECK(system.call(host, "lost-1", "/lost/x").status == 404);
+            CHECK(system.metrics_of(host).find("tillerhall_routes_age_ms") !=
+                  std::string::npos);
+            for (auto& each : system.hosts())
+                each.store_link->set_held(link_direction::to_client, true);
+            const auto has_line = [&](const std::string& event)
+            { return !system.lines_of(host, event).empty(); };
+            CHECK(system.wait_until(
+                [&] { return has_line("routes_unconfirmed"); }));
+            const auto refused = system.lines_of(host, "no_route");
+            REQUIRE(refused.size() == 1);
+            CHECK(refused.front().at("id") == "lost-1");
+            CHECK(refused.front().at("routes") == 1);
+            CHECK(refused.front().at("routes_age_ms").as_int64() <
+                  to_ms(config_bound));
+            for (const auto& each : system.lines_of(host, ""))
+                CHECK(each.contains("build"));
+        });
+}
--- a/tests/support/mesh_system.hpp
+++ b/tests/support/mesh_system.hpp
@@ -95,6 +95,8 @@
     reporting_target* target = nullptr; ///< kept for its fibers
     std::map<std::string, address> at;  ///< by listener name
     paced_link* peer_link = nullptr;    ///< other nodes connect by it, if set
+    paced_link* rpc_link = nullptr;     ///< the same for control messages
+    paced_link* store_link = nullptr;   ///< its own path to the store, if set
     /** Of these addresses, while the node is not running. */
     std::vector<std::unique_ptr<port_reservation>> reservations;
 };
@@ -155,13 +157,31 @@
     void link_peers()
     {
         for (auto& each : m_hosts)
-        {
-            each.reservations.push_back(
-                std::make_unique<port_reservation>(address{"127.0.0.1", 0}));
-            each.at["peer"] = each.reservations.back()->where();
-            each.peer_link = &keep_for_fibers(
-                std::make_shared<paced_link>(m_worker, each.at["peer"]));
-        }
+            each.peer_link = &link_to(each, "peer");
+    }
+
+    /** The same for the listener of control messages. */
+    void link_rpc()
+    {
+        for (auto& each : m_hosts)
+            each.rpc_link = &link_to(each, "rpc");
+    }
+
+    /** Nodes that start from now on send heartbeats as in deploy/settings.yaml,
+     * not as often as other tests want them. */
+    void use_deployed_heartbeats()
+    {
+        m_heartbeats = "  heartbeat_ms: 1000\n  heartbeat_timeout_ms: 600\n"
+                       "  suspect_ms: 3000\n";
+    }
+
+    /** Gives each node a link of its own to the store. Call it before any node
+     * starts. */
+    void link_stores()
+    {
+        for (auto& each : m_hosts)
+            each.store_link = &keep_for_fibers(
+                std::make_shared<paced_link>(m_worker, m_store.where()));
     }
 
     void configure(int version,
@@ -181,6 +201,23 @@
         return answer ? answer->body : "";
     }
 
+    /** @return the log lines of the node with @p event, all if it is empty. */
+    static std::vector<boost::json::object> lines_of(const mesh_host& host,
+                                                     std::string_view event)
+    {
+        std::ifstream file(host.settings_path + ".log");
+        std::vector<boost::json::object> found;
+        for (std::string line; std::getline(file, line);)
+        {
+            boost::system::error_code failed;
+            auto value = boost::json::parse(line, failed);
+            if (!failed && value.is_object() &&
+                (event.empty() || value.at("event").as_string() == event))
+                found.push_back(std::move(value.as_object()));
+        }
+        return found;
+    }
+
     /** Starts all nodes, waits until they are ready and reports their targets
      * ready. */
     void start()
@@ -278,6 +315,24 @@
     worker& on() noexcept { return m_worker; }
 
 private:
+    /** @return a new link to the listener @p name, whose port is fixed now. */
+    paced_link& link_to(mesh_host& host, const std::string& name)
+    {
+        host.reservations.push_back(
+            std::make_unique<port_reservation>(address{"127.0.0.1", 0}));
+        host.at[name] = host.reservations.back()->where();
+        return keep_for_fibers(
+            std::make_shared<paced_link>(m_worker, host.at[name]));
+    }
+
+    /** @return where the node of @p host finds the store. */
+    address store_of(const mesh_host& host) const
+    {
+        const auto* link =
+            host.store_link == nullptr ? m_store_link : host.store_link;
+        return link == nullptr ? m_store.where() : link->where();
+    }
+
     void add_host(const std::string& service)
     {
         const auto index = std::to_string(m_hosts.size());
@@ -299,24 +354,25 @@
                  << (host.at.contains(name) ? host.at[name].text()
                                             : "127.0.0.1:0")
                  << "\n";
-        const auto store =
-            (m_store_link == nullptr ? m_store.where() : m_store_link->where())
-                .text();
+        const auto store = store_of(host).text();
         file << "  region: r\n  domain: " << host.domain
              << "\n  stop_grace_s: 4\n";
         if (host.peer_link != nullptr)
             file << "  advertise_peer: " << host.peer_link->where().text()
                  << "\n";
+        if (host.rpc_link != nullptr)
+            file << "  advertise_rpc: " << host.rpc_link->where().text()
+                 << "\n";
         file << "target:\n  service: " << host.service
              << "\n  address: " << host.target->reported_address().text()
              << "\nplatform:\n  tables: " << store << "\n  objects: " << store
-             << "\n  hosts: " << store
-             << "\nmesh:\n  heartbeat_ms: 150\n  suspect_ms: 1000\n"
-             << m_more_settings;
+             << "\n  hosts: " << store << "\nmesh:\n"
+             << m_heartbeats << m_more_settings;
     }
 
     worker& m_worker;
     std::string m_more_settings;
+    std::string m_heartbeats = "  heartbeat_ms: 150\n  suspect_ms: 1000\n";
     store_standin& m_store;
     paced_link* m_store_link = nullptr; ///< kept for its fibers
     std::string m_folder;
