A silent connection to the store costs one timeout, not one each

Cause: the client of the store reused connections however long they had been idle. One that has gone silent shows no error, so a call waits on it for its whole timeout, 1 to 2.5 s; the other idle ones, silent since before as well, were used next. A node that listens to a reader does not use its connections, and meets them when it has to ask itself. Fix: only a connection that answered within the last second is reused, and a timeout closes all that have not answered since the call began. A call waits on a silent connection only if that became silent within the last second, and only once.

--- a/include/tillerhall/http/api_client.hpp
+++ b/include/tillerhall/http/api_client.hpp
@@ -27,7 +27,14 @@
     std::function<void()> on_part;
 };
 
-/** A client of one server, for fibers of one worker. */
+/**
+ * A client of one server, for fibers of one worker.
+ *
+ * An open connection can go silent without an error, for example when a
+ * middlebox drops it. Only one that has answered within `max_idle_time` is used
+ * again, and a call that times out closes all that have not answered since it
+ * began, so that the next call opens a new one.
+ */
 class api_client
 {
 public:
@@ -61,12 +68,22 @@
 
     const address& server() const noexcept { return m_server; }
 
+    static constexpr milliseconds max_idle_time{1'000};
+
 private:
+    struct idle_stream
+    {
+        std::unique_ptr<tcp_stream> stream;
+        time_point answered; ///< its last answer
+    };
+
     result<std::unique_ptr<tcp_stream>> take_stream(duration timeout);
+    /** Closes the idle connections that have not answered since @p since. */
+    void close_idle(time_point since);
 
     boost::asio::io_context& m_io;
     address m_server;
-    std::vector<std::unique_ptr<tcp_stream>> m_idle;
+    std::vector<idle_stream> m_idle; ///< in the order of their answers
 };
 
 } // namespace tillerhall
--- a/src/http/api_client.cpp
+++ b/src/http/api_client.cpp
@@ -67,9 +67,10 @@
 
 result<std::unique_ptr<tcp_stream>> api_client::take_stream(duration timeout)
 {
+    close_idle(steady_clock::now() - max_idle_time);
     while (!m_idle.empty())
     {
-        auto stream = std::move(m_idle.back());
+        auto stream = std::move(m_idle.back().stream);
         m_idle.pop_back();
         if (is_reusable(*stream))
             return stream;
@@ -77,6 +78,12 @@
     return connect_stream(m_io, m_server, timeout);
 }
 
+void api_client::close_idle(time_point since)
+{
+    std::erase_if(m_idle, [since](const idle_stream& each)
+                  { return each.answered < since; });
+}
+
 result<http_response> api_client::send(const api_call& request,
                                        duration timeout)
 {
@@ -84,6 +91,7 @@
     if (!taken)
         return taken.reason();
     auto stream = std::move(*taken);
+    const auto begin = steady_clock::now();
     stream->expires_after(timeout);
     const auto message = build(request, m_server);
     boost::system::error_code failed;
@@ -99,6 +107,8 @@
         request.max_pause > duration::zero()
             ? read_in_parts(*stream, buffer, parser, request, failed)
             : http::async_read(*stream, buffer, parser, await{failed});
+    if (failed == boost::beast::error::timeout)
+        close_idle(begin);
     if (failed)
         return stream_error(failed,
                             "no whole answer, only " +
@@ -113,7 +123,7 @@
         response.fields[std::string(each.name_string())] =
             std::string(each.value());
     if (answer.keep_alive() && m_idle.size() < max_idle)
-        m_idle.push_back(std::move(stream));
+        m_idle.push_back({std::move(stream), steady_clock::now()});
     return response;
 }
 
--- a/tests/integration/stale_routes.cpp
+++ b/tests/integration/stale_routes.cpp
@@ -78,6 +78,43 @@
 
 } // namespace
 
+TEST_CASE("nodes do not wait on one silent connection after the other")
+{
+    on_worker(
+        [](worker& on)
+        {
+            linked_domains system(on);
+            for (int round = 0; round < 6; ++round)
+            {
+                sleep_for(on.io(), std::chrono::seconds(2));
+                system.versions.put();
+                system.silence_connections();
+                sleep_for(on.io(), contact);
+                CHECK(system.faults() == std::vector<std::string>());
+            }
+        });
+}
+
+TEST_CASE("new readers do not wait on connections silent since long ago")
+{
+    on_worker(
+        [](worker& on)
+        {
+            linked_domains system(on);
+            sleep_for(on.io(), std::chrono::seconds(2));
+            const auto readers = system.readers();
+            for (auto& each : system.hosts())
+                if (std::ranges::find(readers, &each) == readers.end())
+                    each.store_link->silence_open();
+            sleep_for(on.io(), contact);
+            for (auto* each : readers)
+                each->node.kill();
+            system.versions.put();
+            sleep_for(on.io(), config_bound);
+            CHECK(system.faults() == std::vector<std::string>());
+        });
+}
+
 TEST_CASE("logs and metrics tell the version, its age and the build")
 {
     on_worker(
