Silent connections between nodes fail one message, not one each

In the log of "nodes do not wait on one silent connection after the other" each node suspected most others after their connections had gone silent; an update of a reader is offered to three candidates for 0.6 s each. Evidence: "several silent connections to a node fail one call only" and "connections that have long been idle are not used between nodes" failed before. Result: both pass.

--- a/include/tillerhall/rpc/client_pool.hpp
+++ b/include/tillerhall/rpc/client_pool.hpp
@@ -27,7 +27,8 @@
 /**
  * Client connections of one worker; the least recently used idle one is
  * evicted. A connection carries one call at a time and is closed after any
- * failure, so that a late answer cannot reach a later call.
+ * failure, so that a late answer cannot reach a later call. One that may have
+ * gone silent is not used: see `api_client`.
  */
 class rpc_client_pool
 {
@@ -49,15 +50,28 @@
      */
     result<boost::json::object> call(const rpc_call& request);
 
+    /** A connection that has been idle for longer is not used again; more than
+     * the interval of heartbeats and updates. */
+    static constexpr milliseconds max_idle_time{2'000};
+
 private:
+    struct idle_connection
+    {
+        std::unique_ptr<rpc_connection> connection;
+        time_point answered; ///< its last answer
+    };
+
     std::unique_ptr<rpc_connection> take_idle(const address& peer);
     void give_back(std::unique_ptr<rpc_connection> used);
+    /** Closes the idle connections to @p peer that have not answered since
+     * @p since. */
+    void close_idle(const address& peer, time_point since);
 
     boost::asio::io_context& m_io;
     traffic_counters& m_traffic;
     std::size_t m_max_idle;
     std::string m_from_ip;
-    std::list<std::unique_ptr<rpc_connection>> m_idle; ///< newest first
+    std::list<idle_connection> m_idle; ///< newest first
 };
 
 } // namespace tillerhall
--- a/src/rpc/client_pool.cpp
+++ b/src/rpc/client_pool.cpp
@@ -66,11 +66,14 @@
             std::make_unique<rpc_connection>(request.peer, std::move(*opened));
     }
     connection->reset_bytes();
+    const auto begin = steady_clock::now();
     const auto reply =
         connection->call(request.method, boost::json::serialize(request.params),
                          request.timeout);
     m_traffic.add(request.kind, connection->bytes_in(),
                   connection->bytes_out());
+    if (reply.status == rpc_status::transport_failed)
+        close_idle(request.peer, begin);
     if (reply.status != rpc_status::ok)
         return call_error(request, reply);
     give_back(std::move(connection));
@@ -79,13 +82,15 @@
 
 std::unique_ptr<rpc_connection> rpc_client_pool::take_idle(const address& peer)
 {
+    close_idle(peer, steady_clock::now() - max_idle_time);
     while (true)
     {
-        const auto found = std::ranges::find_if(
-            m_idle, [&](const auto& each) { return each->peer() == peer; });
+        const auto found =
+            std::ranges::find_if(m_idle, [&](const idle_connection& each)
+                                 { return each.connection->peer() == peer; });
         if (found == m_idle.end())
             return nullptr;
-        auto taken = std::move(*found);
+        auto taken = std::move(found->connection);
         m_idle.erase(found);
         if (is_reusable(taken->stream()))
             return taken;
@@ -94,9 +99,16 @@
 
 void rpc_client_pool::give_back(std::unique_ptr<rpc_connection> used)
 {
-    m_idle.push_front(std::move(used));
+    m_idle.push_front({std::move(used), steady_clock::now()});
     if (m_idle.size() > m_max_idle)
         m_idle.pop_back();
 }
 
+void rpc_client_pool::close_idle(const address& peer, time_point since)
+{
+    std::erase_if(
+        m_idle, [&](const idle_connection& each)
+        { return each.connection->peer() == peer && each.answered < since; });
+}
+
 } // namespace tillerhall
