A message offered to another member says its present age

An update of a reader states how old its knowledge of the store is. It is offered to up to three members, 0.6 s each, but the message was made once: through the third one it claimed to be 1.2 s younger than it was, and its receiver trusted the reader for so much longer, without asking the store. Fix: the message is made for each try.

--- a/include/tillerhall/node/range_send.hpp
+++ b/include/tillerhall/node/range_send.hpp
@@ -15,7 +15,8 @@
     const char* method = nullptr;
     traffic_kind kind = traffic_kind::other;
     duration timeout{}; ///< of one call
-    /** @return the message for the members in a range. */
+    /** @return the message for the members in a range; called for each try, so
+     * that an age in it is that of the try. */
     std::function<boost::json::object(const key_range&)> params;
 };
 
--- a/src/node/range_send.cpp
+++ b/src/node/range_send.cpp
@@ -16,12 +16,11 @@
         mesh.on.spawn(
             [&mesh, message, part]
             {
-                const auto params = message.params(part.range);
                 const auto takes = [&](const address& peer)
                 {
                     return mesh.pool
-                        .call({peer, message.kind, message.method, params,
-                               message.timeout})
+                        .call({peer, message.kind, message.method,
+                               message.params(part.range), message.timeout})
                         .has_value();
                 };
                 if (std::ranges::none_of(part.candidates, takes))
--- a/tests/integration/node_messages.cpp
+++ b/tests/integration/node_messages.cpp
@@ -1,8 +1,10 @@
-/** @file Messages between nodes on connections that do not answer. */
+/** @file Messages between nodes on connections and to members that do not
+ * answer. */
 #include "system.hpp"
 
 #include "platform_standin/paced_link.hpp"
 #include "tillerhall/http/listener.hpp"
+#include "tillerhall/node/range_send.hpp"
 #include "tillerhall/observe/metrics.hpp"
 #include "tillerhall/rpc/client_pool.hpp"
 #include "tillerhall/rpc/server.hpp"
@@ -92,3 +94,48 @@
             CHECK(nodes.call());
         });
 }
+
+TEST_CASE("a message to the third candidate is as old as it says")
+{
+    on_worker(
+        [](worker& on)
+        {
+            constexpr int candidates = 3;
+            int received = 0;
+            std::int64_t age_ms = -1;
+            const auto answer = [&](const boost::json::object& params)
+            {
+                if (++received < candidates)
+                    sleep_for(on.io(), std::chrono::seconds(10));
+                else
+                    age_ms = params.at("age").as_int64();
+                return boost::json::object();
+            };
+            settings config;
+            config.fanout = 1;
+            config.rpc = {"127.0.0.1", 0};
+            member self;
+            self.rpc = {"127.0.0.1", 1};
+            self.place = {"r", "other"};
+            auto& board = *new blackboard;
+            mesh_state mesh(config, self, on, board);
+            member last;
+            for (int i = 0; i < candidates; ++i)
+            {
+                last.rpc = (new peer_node(on, answer))->listens->local();
+                last.place = {"r", "d"};
+                mesh.members.merge(last);
+            }
+            const auto begin = steady_clock::now();
+            send_to_range(mesh,
+                          {"ping", traffic_kind::other, call_timeout,
+                           [begin](const key_range&) {
+                               return boost::json::object{
+                                   {"age", to_ms(steady_clock::now() - begin)}};
+                           }},
+                          domain_range(last));
+            sleep_for(on.io(), candidates * call_timeout);
+            CHECK(received == candidates);
+            CHECK(age_ms >= to_ms((candidates - 1) * call_timeout));
+        });
+}
