The age of what a reader knows counts from its question to the store, through every hop

A node that listens trusts an update of its reader for 1.4 s after the answer of the store that it tells of, and does not ask the store meanwhile. That moment was taken too late: as the latest at which the store can have answered (up to 1 s after a read was sent); from the handling of an update, not from its arrival; and the time on a link that is cut for a while, or in the socket of a frozen node that forwards it later, counted nowhere. Fix, in one place (`asked_at`): a reader counts from its question, where an answer without changes proves that the store waited; nodes that forward add the time since its bytes came; the receiver adds how much longer than the fastest of the reader's last 32 updates it was under way by the reader's own clock. Ages that cannot be are clamped.

--- a/include/tillerhall/control/route_controller.hpp
+++ b/include/tillerhall/control/route_controller.hpp
@@ -5,6 +5,7 @@
 #include "tillerhall/core/backoff.hpp"
 #include "tillerhall/distribution/confirmed_copy.hpp"
 #include "tillerhall/distribution/store_role.hpp"
+#include "tillerhall/distribution/transit_time.hpp"
 #include "tillerhall/node/mesh_state.hpp"
 #include "tillerhall/store/row_store.hpp"
 
@@ -87,11 +88,8 @@
     outcome read_row();
     outcome follow_once();
     outcome apply_last(const row_page& page, bool is_whole);
-    /** @param latest latest time at which the store can have answered
-     * @param current_at the answer holds all changes up to then */
-    void note_answer(std::uint64_t revision,
-                     time_point latest,
-                     time_point current_at);
+    /** @param current_at the answer holds all changes up to then */
+    void note_answer(std::uint64_t revision, time_point current_at);
     void apply(const std::string& value, const char* from);
     void apply_packed(const std::string& packed, const char* from);
     /** Notes that the routes in force were the newest at @p at. */
@@ -107,7 +105,10 @@
     /** Tells the domain that an answer of the store is being received, if this
      * takes long. Called for each part of it. */
     void announce_receiving();
-    void forward(const routes_update& update);
+    /** @param received when this node got the update */
+    void forward(const routes_update& update, time_point received);
+    /** @return when what @p update tells was asked of the store. */
+    time_point asked_at(const routes_update& update, time_point received);
 
     mesh_state& m_mesh;
     row_store& m_store;
@@ -125,7 +126,8 @@
     std::uint64_t m_revision = 0;          ///< of the store, read up to here
     std::uint64_t m_applied_revision = 0;  ///< of the row applied last
     std::uint64_t m_announced_version = 0; ///< last sent with its routes
-    time_point m_answered{};               ///< by the store, last time
+    time_point m_answered{};               ///< see `note_answer`
+    transit_time m_transit;                ///< of the readers' updates
     confirmed_copy m_confirmed;            ///< of the routes in force
     bool m_has_received_update = false;    ///< from a reader
     bool m_store_lost = false;
--- a/include/tillerhall/core/time.hpp
+++ b/include/tillerhall/core/time.hpp
@@ -24,7 +24,7 @@
 std::int64_t wall_clock_minute() noexcept;
 
 /** @return @p span in whole milliseconds, rounded down. */
-inline std::int64_t to_ms(duration span) noexcept
+constexpr std::int64_t to_ms(duration span) noexcept
 {
     return std::chrono::duration_cast<milliseconds>(span).count();
 }
--- a/src/control/route_controller.cpp
+++ b/src/control/route_controller.cpp
@@ -33,9 +33,6 @@
 // Peers of other domains may have a version this much earlier: the reader of
 // this domain pauses and reads, and its update takes two or three hops.
 constexpr milliseconds peer_grace(700);
-// Added to the wait for the latest time of an answer, so that a delay of this
-// process does not make the answer seem newer.
-constexpr milliseconds answer_margin(100);
 constexpr milliseconds pull_timeout(1'000);
 // A slower member is skipped, since the next update is due by then.
 constexpr milliseconds update_timeout(600);
@@ -209,11 +206,10 @@
 }
 
 void route_controller::note_answer(std::uint64_t revision,
-                                   time_point latest,
                                    time_point current_at)
 {
     confirm(current_at, "store");
-    m_answered = std::min(steady_clock::now(), latest);
+    m_answered = current_at;
     // Makes nodes that start together wait for a reader's update instead of
     // each polling the store.
     if (!m_has_received_update)
@@ -232,7 +228,7 @@
     if (!page)
         return outcome::failed;
     const auto applied = apply_last(*page, !page->more);
-    note_answer(page->revision, begin + row_store::answer_timeout, begin);
+    note_answer(page->revision, begin);
     announce();
     return applied;
 }
@@ -254,8 +250,7 @@
     // Without changes the store has waited before it answered.
     const bool has_waited =
         page->rows.empty() && steady_clock::now() >= begin + wait;
-    note_answer(page->revision, begin + wait + answer_margin,
-                has_waited ? begin + wait : begin);
+    note_answer(page->revision, has_waited ? begin + wait : begin);
     announce();
     return applied;
 }
@@ -368,7 +363,7 @@
     if (update.version != m_announced_version)
         update.packed = m_packed;
     m_announced_version = update.version;
-    forward(update);
+    forward(update, steady_clock::now());
 }
 
 routes_update route_controller::make_update() const
@@ -378,7 +373,9 @@
     update.rank = reader_rank(m_mesh.members);
     update.version = m_mesh.board.call_map.get()->version();
     update.revision = m_revision;
-    update.store_age_ms = to_ms(steady_clock::now() - m_answered);
+    const auto now = steady_clock::now();
+    update.store_age_ms = to_ms(now - m_answered);
+    update.sent_ms = to_ms(now.time_since_epoch());
     update.drained = m_mesh.board.drains.get()->domains();
     update.range = domain_range(m_mesh.members.self());
     return update;
@@ -392,27 +389,40 @@
     m_next_notice = now + reader_feed_wait;
     auto update = make_update();
     update.is_receiving = true;
-    forward(update);
+    forward(update, now);
 }
 
-void route_controller::forward(const routes_update& update)
+void route_controller::forward(const routes_update& update, time_point received)
 {
-    const auto received = steady_clock::now();
     send_to_range(m_mesh,
                   {method::routes_update, traffic_kind::delta, update_timeout,
                    [update, received](const key_range& part)
                    {
                        auto sent = update;
-                       sent.store_age_ms +=
-                           to_ms(steady_clock::now() - received);
+                       const auto held = to_ms(steady_clock::now() - received);
+                       sent.store_age_ms += held;
+                       sent.relayed_ms += held;
                        sent.range = part;
                        return to_json(sent);
                    }},
                   update.range);
 }
 
+time_point route_controller::asked_at(const routes_update& update,
+                                      time_point received)
+{
+    const auto under_way =
+        update.sent_ms == 0
+            ? duration::zero()
+            : m_transit.excess(update.reader, update.sent_ms, received);
+    const milliseconds relayed(update.relayed_ms);
+    return received - milliseconds(update.store_age_ms) -
+           std::max<duration>(duration::zero(), under_way - relayed);
+}
+
 json::object route_controller::on_update(const json::object& params)
 {
+    const auto received = m_mesh.on.earliest_arrival();
     const auto update = routes_update_from_json(params);
     const auto reader = address::parse(update.reader);
     if (!reader)
@@ -421,7 +431,7 @@
     if (!is_meant_for(m_mesh.members.self(), update.range))
         return {{"e", name_of(error_code::invalid_argument)},
                 {"d", "not this node's range"}};
-    forward(update);
+    forward(update, received);
     if (m_on_drained)
         m_on_drained(update.drained, update.revision);
     const auto in_force = m_mesh.board.call_map.get()->version();
@@ -439,12 +449,11 @@
                                steady_clock::now());
     // This node now knows what the reader has read of the store.
     m_revision = std::max(m_revision, update.revision);
-    confirm(steady_clock::now() - milliseconds(update.store_age_ms),
-            update.reader);
-    m_role.update_received(
-        update.rank, reader_rank(m_mesh.members),
-        milliseconds(std::max<std::int64_t>(0, update.store_age_ms)),
-        steady_clock::now());
+    const auto asked = asked_at(update, received);
+    const auto now = steady_clock::now();
+    confirm(asked, update.reader);
+    m_role.update_received(update.rank, reader_rank(m_mesh.members),
+                           now - asked, now);
     return {};
 }
 
