A reader's notices of an unfinished answer extend the trust in it for 10 s at most

While a reader receives a large answer of the store the other nodes of its domain wait for it. Each notice extended that, so that a reader whose answer trickled, broke off and began again kept its domain on an old version without end. Found by reading. Evidence: unit test "a reader whose answer never ends is not waited for without a bound" failed before. Fix: the notices count until 10 s after the last answer known, the time that a transfer may take.

--- a/include/tillerhall/distribution/store_role.hpp
+++ b/include/tillerhall/distribution/store_role.hpp
@@ -38,6 +38,10 @@
      * must be in force. */
     static constexpr milliseconds staleness_limit{1'400};
 
+    /** A reader can say for so long after its last answer that it receives a
+     * larger one: the time that a transfer may take. */
+    static constexpr std::chrono::seconds max_receiving{10};
+
     /** Notes an update.
      * @param from rank of its reader
      * @param age time since the store's answer */
@@ -86,10 +90,9 @@
     {
         if (!m_answered)
             return {};
-        const auto newest = m_reader_received
-                                ? std::max(*m_answered, *m_reader_received)
-                                : *m_answered;
-        return newest + staleness_limit;
+        const auto received = std::min(m_reader_received.value_or(time_point()),
+                                       *m_answered + max_receiving);
+        return std::max(*m_answered, received) + staleness_limit;
     }
 
 private:
--- a/tests/unit/store_role.cpp
+++ b/tests/unit/store_role.cpp
@@ -94,6 +94,16 @@
     CHECK(better.at(0, start) == store_role::announce);
 }
 
+TEST_CASE("a reader whose answer never ends is not waited for without a bound")
+{
+    store_role_choice role;
+    role.update_received(0, no_candidate, milliseconds(0), start);
+    auto now = start;
+    for (; now < start + std::chrono::minutes(1); now += milliseconds(600))
+        role.reader_receives(0, no_candidate, now);
+    CHECK(role.at(no_candidate, now) == store_role::poll);
+}
+
 TEST_CASE("all nodes rank the readers of a domain alike, the best link first")
 {
     std::vector<member> all(12);
