A node that may lack a version refuses a call instead of answering 404

What callers saw: 404 from a node that had not heard of a newer version yet; a 404 is final, so they did not come back. Cause: a node answered 404 and 401 as if its routes were current, however long nothing had confirmed them. Calls that have a route are led as before. Evidence: integration-stale_routes "a node that may lack a version does not answer 404" failed before and passes.

--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -126,6 +126,12 @@
                               const call_route& route);
     whole_response refuse_caller(const std::string& id,
                                  caller_status status) const;
+    /** @return whether a newer version than that in force may lead a call. */
+    bool may_lack_version() const;
+    /** Refuses a call that no route of @p routes leads. */
+    whole_response refuse_unrouted(const std::string& id,
+                                   const whole_request& request,
+                                   const call_routes& routes);
     /** @return the time until the account has quota again, if it has none. */
     std::optional<duration> over_quota(const caller_identity& caller);
     /** Sets the account for the target and removes the client's key. */
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -1,4 +1,5 @@
 #include "tillerhall/proxy/call_entry.hpp"
+#include "tillerhall/distribution/confirmed_copy.hpp"
 #include "tillerhall/http/call_session.hpp"
 #include "tillerhall/observe/log.hpp"
 #include "tillerhall/proxy/call_fingerprint.hpp"
@@ -150,11 +151,7 @@
         return m_answers.unavailable(id, "this node ends");
     state.route = routes->find(message[http::field::host], message.target());
     if (state.route == nullptr)
-    {
-        m_log.no_route(id, message[http::field::host], message.target(),
-                       *routes);
-        return m_answers.not_found(id);
-    }
+        return refuse_unrouted(id, message, *routes);
     state.routes_version = routes->version();
     const auto& route = *state.route;
     const auto left = time_left_of(message[m_names.time_left]);
@@ -197,10 +194,28 @@
     return identify_caller(request, routes, route, evidence);
 }
 
+bool call_entry::may_lack_version() const
+{
+    return confirmed_copy::may_be_stale(m_board.routes_confirmed,
+                                        steady_clock::now());
+}
+
+whole_response call_entry::refuse_unrouted(const std::string& id,
+                                           const whole_request& request,
+                                           const call_routes& routes)
+{
+    m_log.no_route(id, request[http::field::host], request.target(), routes);
+    return may_lack_version()
+               ? m_answers.unavailable(id, "a newer version may have the route")
+               : m_answers.not_found(id);
+}
+
 whole_response call_entry::refuse_caller(const std::string& id,
                                          caller_status status) const
 {
     m_board.metrics.get("tillerhall_caller_refused_total").add();
+    if (may_lack_version())
+        return m_answers.unavailable(id, "a newer version may have the key");
     return status == caller_status::unauthenticated
                ? m_answers.unauthorized(id)
                : m_answers.unavailable(id, "whose call it is can't be told");
--- a/tests/integration/stale_routes.cpp
+++ b/tests/integration/stale_routes.cpp
@@ -109,6 +109,28 @@
         });
 }
 
+TEST_CASE("a node that may lack a version does not answer 404")
+{
+    on_worker(
+        [](worker& on)
+        {
+            linked_domains system(on);
+            auto& host = system.hosts().front();
+            const auto status = [&]
+            { return system.call(host, "x", "/none/x").status; };
+            CHECK(status() == 404);
+            for (auto* link : {host.store_link, host.rpc_link})
+                link->set_held(link_direction::to_server, true);
+            for (auto& each : system.hosts())
+                each.rpc_link->set_held(link_direction::to_server, true);
+            REQUIRE(system.wait_until([&] { return status() == 503; }));
+            CHECK_FALSE(system.call(host, "y", "/none/x").retry_after.empty());
+            CHECK(system.call(host, "z", "/sales/x").status == 200);
+            host.store_link->set_held(link_direction::to_server, false);
+            CHECK(system.wait_until([&] { return status() == 404; }));
+        });
+}
+
 TEST_CASE("logs and metrics tell the version, its age and the build")
 {
     on_worker(
