A node refutes a record of itself with any incarnation

A row that names a live node with the greatest incarnation and as dead excluded that node for good: it raised its own by one, to 0, which no other node took; no call reached its target. Fix: incarnations are compared in serial number arithmetic (RFC 1982), so that a later one always exists.

--- a/include/tillerhall/membership/member.hpp
+++ b/include/tillerhall/membership/member.hpp
@@ -75,6 +75,17 @@
     bool operator==(const member&) const = default;
 };
 
+/**
+ * Returns whether an incarnation comes after another in serial number
+ * arithmetic (RFC 1982): there is always a later one, also after the greatest
+ * number, so that a node can refute any record of itself.
+ */
+bool is_later(std::uint64_t incarnation, std::uint64_t than) noexcept;
+
+/** Returns the incarnation that comes next after both. */
+std::uint64_t incarnation_after(std::uint64_t one,
+                                std::uint64_t other) noexcept;
+
 /** @return true if @p offered is newer than @p known. */
 bool supersedes(const member& offered, const member& known) noexcept;
 
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -142,10 +142,22 @@
     return target_state_names[static_cast<std::size_t>(state)];
 }
 
+bool is_later(std::uint64_t incarnation, std::uint64_t than) noexcept
+{
+    constexpr std::uint64_t half = std::uint64_t{1} << 63;
+    const auto ahead = incarnation - than;
+    return ahead == half ? incarnation > than : ahead != 0 && ahead < half;
+}
+
+std::uint64_t incarnation_after(std::uint64_t one, std::uint64_t other) noexcept
+{
+    return (is_later(one, other) ? one : other) + 1;
+}
+
 bool supersedes(const member& offered, const member& known) noexcept
 {
     if (offered.incarnation != known.incarnation)
-        return offered.incarnation > known.incarnation;
+        return is_later(offered.incarnation, known.incarnation);
     return offered.state > known.state;
 }
 
--- a/src/membership/member_list.cpp
+++ b/src/membership/member_list.cpp
@@ -32,7 +32,8 @@
         return;
     auto raised = changed;
     raised.rpc = m_self;
-    raised.incarnation = std::max(changed.incarnation, self().incarnation) + 1;
+    raised.incarnation =
+        incarnation_after(changed.incarnation, self().incarnation);
     store(raised);
 }
 
@@ -72,7 +73,8 @@
     const bool learned = departure_added || crash_added || run_added;
     if (!accused && !learned)
         return merge_result::unchanged;
-    raised.incarnation = std::max(offered.incarnation, raised.incarnation) + 1;
+    raised.incarnation =
+        incarnation_after(offered.incarnation, raised.incarnation);
     store(raised);
     return accused ? merge_result::refute : merge_result::changed;
 }
--- a/tests/unit/membership.cpp
+++ b/tests/unit/membership.cpp
@@ -26,6 +26,40 @@
 
 } // namespace
 
+TEST_CASE("a node refutes a record of itself with any incarnation")
+{
+    // Guards against a row of another writer that excludes a node for good.
+    rc::prop("whatever the incarnation",
+             [](std::uint64_t offered_incarnation)
+             {
+                 const std::uint64_t own = 1'796'442'167'573;
+                 member self;
+                 self.rpc = {"10.0.0.1", 7400};
+                 self.incarnation = own;
+                 member odd = self;
+                 odd.incarnation =
+                     *rc::gen::element(offered_incarnation, UINT64_MAX,
+                                       std::uint64_t{1} << 63, own, own + 1);
+                 odd.state = member_state::dead;
+                 member peer;
+                 peer.rpc = {"10.0.0.2", 7400};
+                 member_list own_list(self);
+                 member_list peer_list(peer);
+                 peer_list.merge(self);
+                 peer_list.merge(odd);
+                 own_list.merge(odd);
+                 peer_list.merge(own_list.self());
+                 RC_ASSERT(peer_list.find(self.rpc)->state ==
+                           member_state::alive);
+                 member_list late(peer);
+                 late.merge(odd);
+                 late.merge(own_list.self());
+                 const auto* known = late.find(self.rpc);
+                 RC_ASSERT(known != nullptr);
+                 RC_ASSERT(known->state == member_state::alive);
+             });
+}
+
 TEST_CASE("merging member records is independent of order and repetition")
 {
     rc::prop("merges in any order give equal lists",
