--- a/tests/platform/decoders.cpp
+++ b/tests/platform/decoders.cpp
@@ -51,6 +51,32 @@
 
 } // namespace
 
+TEST_CASE("numbers beyond any use are bounded or refused")
+{
+    // Times are added to others, so that a greater one would overflow.
+    constexpr auto greatest = std::numeric_limits<std::int64_t>::max();
+    auto config = good_config();
+    config["routes"].as_array()[0].as_object()["timeout"] = greatest;
+    config["limits"].as_object()["idleTimeout"] = greatest;
+    config["services"].as_array()[0].as_object()["coldStart"] = 1e300;
+    const auto routes = platform::decode_routes(json::serialize(config));
+    REQUIRE(routes);
+    constexpr milliseconds day = std::chrono::hours(24);
+    CHECK((*routes)->routes().front().timeout <= day);
+    CHECK((*routes)->limits().idle_timeout <= day);
+    CHECK((*routes)->terms_of("s1").cold_for <= day);
+    CHECK((*routes)->terms_of("s1").cold_for >= milliseconds::zero());
+    for (const auto* name : {"slots", "coldRemaining"})
+    {
+        auto report = good_report();
+        report[name] = greatest;
+        const auto read = platform::decode_report(report_request(
+            "/instances/i-1/heartbeat", json::serialize(report)));
+        REQUIRE(read);
+        CHECK_FALSE(*read);
+    }
+}
+
 TEST_CASE("a configuration is decoded into routes")
 {
     const auto routes = platform::decode_routes(json::serialize(good_config()));
