--- a/include/tillerhall/store/row_store.hpp
+++ b/include/tillerhall/store/row_store.hpp
@@ -38,6 +38,7 @@
     std::vector<stored_row> rows;
     std::uint64_t revision = 0; ///< newest of the store at the read
     bool more = false;          ///< there are further rows
+    std::size_t unreadable = 0; ///< rows that were left out
 };
 
 /** A compare-and-set write of one row. */
