A key that routes do not know is refused with 401 as before

The test states what holds: a removed key is refused for good. Calls that no route leads are still refused instead of answered 404.

--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -214,8 +214,6 @@
                                          caller_status status) const
 {
     m_board.metrics.get("tillerhall_caller_refused_total").add();
-    if (may_lack_version())
-        return m_answers.unavailable(id, "a newer version may have the key");
     return status == caller_status::unauthenticated
                ? m_answers.unauthorized(id)
                : m_answers.unavailable(id, "whose call it is can't be told");
