The trust in a reader does not count the time of its answer

Now an update tells both: the trust counts from the latest time of the answer, as before, and through every hop; what is confirmed, for 404s and in the log, counts from the question.

--- a/include/tillerhall/control/route_controller.hpp
+++ b/include/tillerhall/control/route_controller.hpp
@@ -88,8 +88,10 @@
     outcome read_row();
     outcome follow_once();
     outcome apply_last(const row_page& page, bool is_whole);
-    /** @param current_at the answer holds all changes up to then */
-    void note_answer(std::uint64_t revision, time_point current_at);
+    /** @param earliest time at which the store can have answered
+     * @param latest such time */
+    void
+    note_answer(std::uint64_t revision, time_point earliest, time_point latest);
     void apply(const std::string& value, const char* from);
     void apply_packed(const std::string& packed, const char* from);
     /** Notes that the routes in force were the newest at @p at. */
@@ -107,8 +109,9 @@
     void announce_receiving();
     /** @param received when this node got the update */
     void forward(const routes_update& update, time_point received);
-    /** @return when what @p update tells was asked of the store. */
-    time_point asked_at(const routes_update& update, time_point received);
+    /** @return the latest time at which the store can have answered what
+     * @p update tells. */
+    time_point answered_at(const routes_update& update, time_point received);
 
     mesh_state& m_mesh;
     row_store& m_store;
@@ -126,7 +129,8 @@
     std::uint64_t m_revision = 0;          ///< of the store, read up to here
     std::uint64_t m_applied_revision = 0;  ///< of the row applied last
     std::uint64_t m_announced_version = 0; ///< last sent with its routes
-    time_point m_answered{};               ///< see `note_answer`
+    time_point m_answered{};               ///< by the store, at the latest
+    duration m_answer_span{};              ///< from the earliest time to that
     transit_time m_transit;                ///< of the readers' updates
     confirmed_copy m_confirmed;            ///< of the routes in force
     bool m_has_received_update = false;    ///< from a reader
--- a/include/tillerhall/control/routes_update.hpp
+++ b/include/tillerhall/control/routes_update.hpp
@@ -19,9 +19,11 @@
     std::size_t rank = 0;       ///< of the reader in its domain
     std::uint64_t version = 0;  ///< of the routes in force at the reader
     std::uint64_t revision = 0; ///< of the store, read up to here
-    /** Since the reader's question to the store; each node that forwards the
-     * update adds the time that it held it. */
+    /** Since the latest time at which the store can have answered the reader;
+     * each node that forwards the update adds the time that it held it. */
     std::int64_t store_age_ms = 0;
+    /** From the earliest time at which it can have answered to the latest. */
+    std::int64_t answer_ms = 0;
     std::int64_t relayed_ms = 0; ///< part of `store_age_ms`, at other nodes
     /** The reader's steady clock when it sent the update, 0: not told. */
     std::int64_t sent_ms = 0;
--- a/src/control/route_controller.cpp
+++ b/src/control/route_controller.cpp
@@ -51,6 +51,9 @@
 // feed, is announced before it is complete.
 constexpr milliseconds receiving_notice_delay(300);
 
+// Added to the wait for the latest time of an answer, so that a delay of this
+// process does not make the answer seem newer.
+constexpr milliseconds answer_margin(100);
 constexpr milliseconds age_check_interval(200);
 
 // Names in logs and metrics.
@@ -206,10 +209,12 @@
 }
 
 void route_controller::note_answer(std::uint64_t revision,
-                                   time_point current_at)
+                                   time_point earliest,
+                                   time_point latest)
 {
-    confirm(current_at, "store");
-    m_answered = current_at;
+    confirm(earliest, "store");
+    m_answered = std::min(steady_clock::now(), latest);
+    m_answer_span = std::max<duration>(duration::zero(), m_answered - earliest);
     // Makes nodes that start together wait for a reader's update instead of
     // each polling the store.
     if (!m_has_received_update)
@@ -228,7 +233,7 @@
     if (!page)
         return outcome::failed;
     const auto applied = apply_last(*page, !page->more);
-    note_answer(page->revision, begin);
+    note_answer(page->revision, begin, begin + row_store::answer_timeout);
     announce();
     return applied;
 }
@@ -250,7 +255,8 @@
     // Without changes the store has waited before it answered.
     const bool has_waited =
         page->rows.empty() && steady_clock::now() >= begin + wait;
-    note_answer(page->revision, has_waited ? begin + wait : begin);
+    note_answer(page->revision, has_waited ? begin + wait : begin,
+                begin + wait + answer_margin);
     announce();
     return applied;
 }
@@ -375,6 +381,7 @@
     update.revision = m_revision;
     const auto now = steady_clock::now();
     update.store_age_ms = to_ms(now - m_answered);
+    update.answer_ms = to_ms(m_answer_span);
     update.sent_ms = to_ms(now.time_since_epoch());
     update.drained = m_mesh.board.drains.get()->domains();
     update.range = domain_range(m_mesh.members.self());
@@ -408,8 +415,8 @@
                   update.range);
 }
 
-time_point route_controller::asked_at(const routes_update& update,
-                                      time_point received)
+time_point route_controller::answered_at(const routes_update& update,
+                                         time_point received)
 {
     const auto under_way =
         update.sent_ms == 0
@@ -449,11 +456,13 @@
                                steady_clock::now());
     // This node now knows what the reader has read of the store.
     m_revision = std::max(m_revision, update.revision);
-    const auto asked = asked_at(update, received);
+    const auto answered = answered_at(update, received);
     const auto now = steady_clock::now();
-    confirm(asked, update.reader);
+    confirm(answered - milliseconds(update.answer_ms), update.reader);
+    // The trust in a reader does not count the time of its answer: on a full
+    // link all nodes would ask while it arrives.
     m_role.update_received(update.rank, reader_rank(m_mesh.members),
-                           now - asked, now);
+                           now - answered, now);
     return {};
 }
 
--- a/src/control/routes_update.cpp
+++ b/src/control/routes_update.cpp
@@ -23,8 +23,8 @@
 {
     json::object members{{"f", sent.reader},       {"k", sent.rank},
                          {"v", sent.version},      {"s", sent.revision},
-                         {"a", sent.store_age_ms}, {"h", sent.relayed_ms},
-                         {"t", sent.sent_ms}};
+                         {"a", sent.store_age_ms}, {"b", sent.answer_ms},
+                         {"h", sent.relayed_ms},   {"t", sent.sent_ms}};
     if (sent.is_receiving)
         members["w"] = 1;
     if (!sent.packed.empty())
@@ -43,6 +43,8 @@
     read.version = json::value_to<std::uint64_t>(members.at("v"));
     read.revision = json::value_to<std::uint64_t>(members.at("s"));
     read.store_age_ms = age_of(members.at("a"));
+    if (const auto* answer = members.if_contains("b"))
+        read.answer_ms = age_of(*answer);
     if (const auto* relayed = members.if_contains("h"))
         read.relayed_ms = age_of(*relayed);
     if (const auto* sent = members.if_contains("t"))
--- a/tests/unit/store_role.cpp
+++ b/tests/unit/store_role.cpp
@@ -149,6 +149,7 @@
     sent.version = 90;
     sent.revision = 1234;
     sent.store_age_ms = 17;
+    sent.answer_ms = 9;
     sent.relayed_ms = 4;
     sent.sent_ms = 123456;
     sent.is_receiving = true;
@@ -160,6 +161,7 @@
     CHECK(read.version == sent.version);
     CHECK(read.revision == sent.revision);
     CHECK(read.store_age_ms == sent.store_age_ms);
+    CHECK(read.answer_ms == sent.answer_ms);
     CHECK(read.relayed_ms == sent.relayed_ms);
     CHECK(read.sent_ms == sent.sent_ms);
     CHECK(read.is_receiving);
