--- a/include/tillerhall/distribution/confirmed_copy.hpp
+++ b/include/tillerhall/distribution/confirmed_copy.hpp
@@ -16,8 +16,8 @@
 class confirmed_copy
 {
 public:
-    /** An older copy may lack a change that has to be in force: the 2 s in which
-     * it has to be, and the longest wait for an answer of the store. */
+    /** An older copy may lack a change that has to be in force: the 2 s in
+     * which it has to be, and the longest wait for an answer of the store. */
     static constexpr milliseconds max_age{3'000};
 
     /** Notes that the copy was the newest at @p at, as @p source knows: "store"
