--- a/review/6/run.py
+++ b/review/6/run.py
@@ -18,16 +18,16 @@
     # Slow backends, so that the runs of those who leave would go on.
     await mesh.start(["perceel"] * 3,
                      configuration(1, routes, ["perceel"]), work_s=1.2,
-                     slots=4)
+                     slots=12)
     end = now() + 20
     close = {"Connection": "close"}
     load = []
     for node in mesh.nodes:
-        for _ in range(3):  # they stay
+        for _ in range(8):  # they stay
             load.append(mesh.load(node, end, 0.1, "GET", "/view/",
                                   fields=close))
         if trouble:
-            for _ in range(4):
+            for _ in range(3):
                 load.append(mesh.load(node, end, 0.5, "GET", "/view/",
                                       fields=close, leave_s=LEAVE_S))
     await asyncio.gather(*load)
