Review: the stand-ins end all processes that they started, also a start that was cut off

Breaks: nothing in the product; Mesh.stop() in review/lab2/mesh.py ended only the last process of each node, so that a start under way could outlive a case. Code at fault: Mesh.stop(), Node.start().

--- a/review/6/run.py
+++ b/review/6/run.py
@@ -36,6 +36,7 @@
         await asyncio.gather(*[node.wait_ready() for node in mesh.nodes])
         await asyncio.sleep(3.5)  # two reports of each backend
     await small
+    await asyncio.sleep(2)  # a start that is under way ends
     for each in watch:
         each.cancel()
     for node in mesh.nodes:
--- a/review/lab2/mesh.py
+++ b/review/lab2/mesh.py
@@ -555,6 +555,9 @@
             "target/tillerhall-node", "--config", self.settings, cwd=ROOT,
             stdout=log, stderr=log)
         log.close()
+        self.mesh.processes.append(self.process)
+        if self.mesh.stopped:
+            self.process.kill()
         self.mesh.record.note("node_started", node=self.name)
         self.watcher = asyncio.create_task(self.watch(self.process))
 
@@ -659,6 +662,8 @@
         self.settings = SETTINGS
         self.store = Store()
         self.nodes = []
+        self.processes = []
+        self.stopped = False
         self.arrivals = []
         self.attempts = []
         self.ids = 0
@@ -757,13 +762,16 @@
         return f"a{self.ids:07x}"
 
     async def stop(self):
+        """Ends all processes that it has started, also those of a start that
+        was cut off."""
+        self.stopped = True
+        for process in self.processes:
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            await process.wait()
         for node in self.nodes:
-            if node.process and node.process.returncode is None:
-                node.process.send_signal(signal.SIGCONT)
-                node.process.kill()
-        for node in self.nodes:
-            if node.process:
-                await node.process.wait()
             if node.backend:
                 node.backend.stop()
         if self.store.server:
