Review: stricter counts, controls and a record in each case folder

Case 6, Fault: unchanged. A case that can't run writes its record too. The code at fault is as the claims say.

--- a/review/4/run.py
+++ b/review/4/run.py
@@ -5,11 +5,14 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "lab2"))
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "lab2"))
 from mesh import Backend, configuration, now, route, run_case  # noqa: E402
 
 HANDED_OVER_AFTER_S = 2.5  # addrReuse is 2 s
+# Controls: "ends" (nobody gets the address), "silent" (its new server reports
+# to nobody).
+ONLY = os.environ.get("ONLY", "")
 OTHER = "graanmolen"  # a service that no configuration names
 
 
@@ -17,7 +20,7 @@
     routes = [route("view", "/view/", "perceel", "safe", 1200, 400, 2, 2),
               route("plant", "/plant/", "perceel", "unsafe"),
               route("sale", "/sale/", "oogstbeurs", "unsafe")]
-    await mesh.start(["perceel"] * 4 + ["oogstbeurs"] * 2,
+    await mesh.start(["perceel"] * 6 + ["oogstbeurs"] * 2,
                      configuration(1, routes, ["perceel", "oogstbeurs"]),
                      work_s=0.12)
     end = now() + 20
@@ -37,14 +40,17 @@
         node.backend.stop()
         mesh.record.note("backend_ended", server=node.backend.instance,
                          address=node.address("app"))
+    if trouble and ONLY != "ends":
         await asyncio.sleep(HANDED_OVER_AFTER_S)
         other = Backend(mesh, node, OTHER, work_s=0.12)
         other.instance = "i-other"
-        await other.start()
+        await other.start(reports=ONLY != "silent")
         node.backend = other
         mesh.record.note("address_handed_over", server=other.instance,
                          service=OTHER, address=node.address("app"))
     await load
+    print(sum(each["how"] == "misdirected" for each in mesh.arrivals),
+          "requests were answered 421")
     wrong = [each for each in mesh.arrivals
              if each["ran"] and each["service"] == OTHER]
     if not wrong:
@@ -58,4 +64,4 @@
             "got its answer with status 200"]
 
 
-run_case(os.path.dirname(os.path.abspath(__file__)), play)
+run_case(os.path.join(FOLDER, "record.txt"), play)
--- a/review/6/run.py
+++ b/review/6/run.py
@@ -5,14 +5,16 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "lab2"))
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "lab2"))
 from mesh import SETTINGS, configuration, now, route, run_case  # noqa: E402
 
 LARGE = 48 * 2 ** 20  # maxBodyBytes is 64 MiB
 USUAL = 60000
 AT_ONCE = 4  # uploads at each of the nodes that get some
 ROUNDS = 5
+# Control: "one-by-one" sends the same large bodies, never two at once.
+ONLY = os.environ.get("ONLY", "")
 
 
 async def play(mesh, trouble):
@@ -30,9 +32,13 @@
         mesh.load(node, end, 0.1, "GET", "/view/")
         for node in mesh.nodes for _ in range(2)])
     for _ in range(ROUNDS):
-        await asyncio.gather(*[
-            mesh.attempt(node, "POST", "/photo/", body, 3000)
-            for node in mesh.nodes[:3] for _ in range(AT_ONCE)])
+        uploads = [mesh.attempt(node, "POST", "/photo/", body, 3000)
+                   for node in mesh.nodes[:3] for _ in range(AT_ONCE)]
+        if ONLY == "one-by-one":
+            for each in uploads:
+                await each
+        else:
+            await asyncio.gather(*uploads)
         await asyncio.gather(*[node.wait_ready() for node in mesh.nodes])
         await asyncio.sleep(3.5)  # two reports of each backend
     await small
@@ -56,4 +62,4 @@
     return []
 
 
-run_case(os.path.dirname(os.path.abspath(__file__)), play)
+run_case(os.path.join(FOLDER, "record.txt"), play)
--- a/review/lab2/mesh.py
+++ b/review/lab2/mesh.py
@@ -27,9 +27,9 @@
 class Record:
     """Events in order, with seconds since the start; written to record.txt."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = now()
-        self.path = os.path.join(folder, "record.txt")
+        self.path = path
         self.events = []
 
     def note(self, what, at=None, **fields):
@@ -275,11 +275,12 @@
         self.sequence = 0
         self.state = "ready"
 
-    async def start(self):
+    async def start(self, reports=True):
         self.server = await asyncio.start_server(
             self.serve, self.node.ip, self.node.ports["app"],
             reuse_address=True, limit=2 ** 20)
-        self.beats = asyncio.create_task(self.beat_loop())
+        if reports:
+            self.beats = asyncio.create_task(self.beat_loop())
 
     async def beat_loop(self):
         while True:
@@ -656,8 +657,8 @@
 
 
 class Mesh:
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="tillerhall-review-")
         self.settings = SETTINGS
         self.store = Store()
@@ -791,27 +792,34 @@
 RUN_LIMIT_S = 110
 
 
-def run_case(folder, play):
-    """Plays a case and exits with its result. `play(mesh, trouble)` returns
-    the sentences that say how the rule was broken."""
+def run_case(record_path, play):
+    """Plays a case, writes its record and exits with its result.
+    `play(mesh, trouble)` returns the sentences that say how the rule was
+    broken."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
         asyncio.get_running_loop().set_exception_handler(
             lambda loop, context: None)  # connections that break on purpose
-        mesh = Mesh(folder)
-        mesh.record.note("begin", trouble=int(trouble))
+        mesh = Mesh(record_path)
+        mesh.record.note("begin", trouble=int(trouble),
+                         only=os.environ.get("ONLY") or "-")
+        broken = []
         try:
             broken = await asyncio.wait_for(play(mesh, trouble), RUN_LIMIT_S)
+        except Exception as failed:
+            mesh.record.note("could_not_run", why=repr(failed))
+            raise
         finally:
             await mesh.stop()
             mesh.remove_files()
+            for each in broken:
+                mesh.record.note("broken", why=each)
+            mesh.write_record()
         for each in broken:
-            mesh.record.note("broken", why=each)
             print("broken:", each)
         if not broken:
             print("the rule held")
-        mesh.write_record()
         return BROKEN if broken else HELD
 
     try:
