Refuse reports of servers that are not the target of the node

Cause: a report was believed in the service and address of the target, which the settings of the node name.

Why this works: find_mismatch compares each report with the settings in the one place where reports enter. One that names another service or address is answered 421, logged and counted, and neither opens nor closes a target.

--- a/include/tillerhall/control/report_controller.hpp
+++ b/include/tillerhall/control/report_controller.hpp
@@ -7,6 +7,14 @@
 namespace tillerhall
 {
 
+/** Reply to a report. */
+enum class report_reply
+{
+    acknowledged,
+    retry,      ///< a departure could not be persisted: report again
+    misdirected ///< the report is not of this node's target
+};
+
 /**
  * Applies reports to the target registry and announces the result to the other
  * nodes. The departure of a target is acknowledged only when the next boot of
@@ -25,12 +33,8 @@
                       target_registry& targets,
                       target_owner& owner);
 
-    /**
-     * Processes one report.
-     * @return true if it may be acknowledged; false if a departure could not be
-     * persisted, so that the target must report again.
-     */
-    bool take(const target_report& report);
+    /** Processes one report. */
+    report_reply take(const target_report& report);
 
     /** Records the departure of a target that told it in a response to a call.
      * The entries that passed it on know it too, so nothing waits until it is
@@ -46,6 +50,7 @@
 
 private:
     void apply_departures();
+    void note_refused(const target_report& report, std::string_view reason);
     /** Announces the target that has come into use. */
     void target_changed();
     void start_confirming(const target_report& report);
--- a/src/control/report_controller.cpp
+++ b/src/control/report_controller.cpp
@@ -1,6 +1,7 @@
 #include "tillerhall/control/report_controller.hpp"
 
 #include "tillerhall/core/backoff.hpp"
+#include "tillerhall/targets/report_check.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -20,6 +21,8 @@
 constexpr milliseconds min_check_wait(50);
 constexpr milliseconds max_check_wait(1'000);
 constexpr std::size_t peers_asked = 5;
+// A name from another writer may be of any length.
+constexpr std::size_t max_logged_name = 100;
 
 target_state state_of(const target_registry& targets, bool is_up)
 {
@@ -125,26 +128,48 @@
     m_mesh.on.spawn([this] { announce(); });
 }
 
-bool report_controller::take(const target_report& report)
+void report_controller::note_refused(const target_report& report,
+                                     std::string_view reason)
+{
+    m_mesh.board.metrics
+        .get("tillerhall_refused_report_total",
+             "reason=\"" + std::string(reason) + "\"")
+        .add();
+    m_mesh.board.call_lines.write(
+        log_level::info, "report_refused",
+        {{"target", report.start()},
+         {"reason", reason},
+         {"service", report.service.substr(0, max_logged_name)},
+         {"address", report.where.text()},
+         {"sequence", report.sequence},
+         {"left", m_targets.has_departed(report.start())}});
+}
+
+report_reply report_controller::take(const target_report& report)
 {
+    const auto& config = m_mesh.config;
+    if (const auto mismatch =
+            find_mismatch(report, {config.service, config.target});
+        mismatch != report_mismatch::none)
+    {
+        note_refused(report, name_of(mismatch));
+        return report_reply::misdirected;
+    }
     apply_departures(); // a peer may have sent those of earlier boots
     const auto result = m_targets.take(report, steady_clock::now());
     if (result == report_result::stale)
     {
-        m_mesh.board.call_lines.write(
-            log_level::info, "report_refused",
-            {{"target", report.start()},
-             {"reason", "stale"},
-             {"sequence", report.sequence},
-             {"left", m_targets.has_departed(report.start())}});
-        return true;
+        note_refused(report, name_of(result));
+        return report_reply::acknowledged;
     }
     if (result == report_result::unconfirmed)
         start_confirming(report);
     if (report.state == report_state::ready)
         m_owner.target_changed();
     announce();
-    return report.state == report_state::ready || persist_departure();
+    return report.state == report_state::ready || persist_departure()
+               ? report_reply::acknowledged
+               : report_reply::retry;
 }
 
 void report_controller::departure_told(const std::string& start)
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -339,8 +339,15 @@
             board.metrics.get("tillerhall_bad_report_total").add();
             return respond(400, {{"detail", report->reason().message()}});
         }
-        return reporter->take(**report) ? respond(200, {})
-                                        : respond(503, {{"retry", true}});
+        switch (reporter->take(**report))
+        {
+        case report_reply::retry:
+            return respond(503, {{"retry", true}});
+        case report_reply::misdirected:
+            return respond(421, {{"detail", "not this node's target"}});
+        default:
+            return respond(200, {});
+        }
     }
 
     void wait_for_reload()
