Stop the use of a target while another one answers at its address

What callers saw: after a target had ended and another was started at its address without a report, each call to that host took a try that was answered 421, and a retry out of the budget, for as long as nothing reported there.

Cause: a response 421 was taken for the refusal of one call. It says that the target which the request names is not there any more.

Why this works: the target counts as down from such a response, or from a health check that names another id, until its next report, as it does when it cannot be connected to. A response to an earlier start changes nothing.

--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -318,6 +318,13 @@
      * takes a new connection, a dead process refuses it.
      */
     bool has_crashed(const target_report& target);
+    /** @return whether the response to a health check of @p target names
+     * another one. */
+    bool names_other_target(const target_report& target,
+                            const whole_response& check) const;
+    /** Stops the use of @p target until its next report: another target
+     * answers at its address. */
+    void target_replaced(const target_report& target);
     /** Records a crash for the other nodes, with the calls that were active. */
     void record_crash(const target_report& target);
     target_crash make_crash_record(const target_report& target);
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -195,11 +195,27 @@
 bool target_owner::is_healthy(const target_report& target)
 {
     const auto response = check_health(target).response;
-    if (!response || response->result() != http::status::ok)
-        return false;
-    // Another target may have been started at the address.
-    const std::string_view id = (*response)[m_names.target_id];
-    return id.empty() || id == target.id;
+    return response && response->result() == http::status::ok &&
+           !names_other_target(target, *response);
+}
+
+bool target_owner::names_other_target(const target_report& target,
+                                      const whole_response& check) const
+{
+    const std::string_view id = check[m_names.target_id];
+    return !id.empty() && id != target.id;
+}
+
+void target_owner::target_replaced(const target_report& target)
+{
+    const auto* used = m_targets.in_use();
+    if (used == nullptr || used->start() != target.start() || !m_is_up)
+        return;
+    m_is_up = false;
+    m_board.decisions.note("target_replaced", target.start(),
+                           "another target answers at its address");
+    if (m_on_change)
+        m_on_change();
 }
 
 void target_owner::check_target()
@@ -218,7 +234,9 @@
     const auto check = check_health(target);
     if (check.sent)
         m_check_failed = !check.response;
-    if (check.response)
+    if (check.response && names_other_target(target, *check.response))
+        target_replaced(target);
+    else if (check.response)
         m_loads.take(target.start(), *check.response, false, *check.sent,
                      steady_clock::now());
     // A call that may be missing waits for proof.
@@ -805,8 +823,9 @@
     const last_send sent_as{target.start(), stream->number(), stream->carried(),
                             result.skipped};
     count_skipped(result.skipped, "call");
-    // 421 is the response of another start at the same address.
-    if (result.response && result.response->result_int() != status_misdirected)
+    if (result.response && result.response->result_int() == status_misdirected)
+        target_replaced(target);
+    else if (result.response)
         take_notice(target, *result.response, sent_at);
     if (result.reusable)
     {
--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -243,7 +243,10 @@
     if (call.head().target() == health_path)
         return read_rest(call) && send(call, m_is_leaving ? 503 : 200, false);
     if (call.head()["X-Expect-Instance"] != m_id)
+    {
+        ++m_misdirected;
         return read_rest(call) && send(call, 421, true);
+    }
     m_arrivals.push_back(
         {std::string(call.head()[id_field]), m_id, steady_clock::now()});
     if (consume(m_faults.early_answers))
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -104,6 +104,8 @@
     void set_reported_address(const address& link) { m_reported_at = link; }
     const address& reported_address() const noexcept { return m_reported_at; }
     const std::string& id() const noexcept { return m_id; }
+    /** Sets the service in its reports. */
+    void set_service(std::string service) { m_service = std::move(service); }
     /** Sets the software version in its reports. */
     void set_release(std::string release) { m_release = std::move(release); }
     /** Sets the slots in its reports. */
@@ -120,6 +122,9 @@
         return m_arrivals;
     }
 
+    /** Number of requests that named another target. */
+    unsigned misdirected() const noexcept { return m_misdirected; }
+
     /** Endless responses that have ended. */
     const std::vector<endless_record>& endless_records() const noexcept
     {
@@ -188,6 +193,7 @@
     std::set<tcp_stream*> m_streams;                  ///< open connections
     std::map<tcp_stream*, std::string> m_late_copies; ///< not yet sent
     std::vector<std::unique_ptr<listener>> m_closed_listeners;
+    unsigned m_misdirected = 0;
     unsigned m_crash_count = 0;
     bool m_has_crashed = false;
     bool m_is_leaving = false; ///< it has said so in a report
--- a/tests/integration/foreign_reports.cpp
+++ b/tests/integration/foreign_reports.cpp
@@ -123,3 +123,22 @@
             CHECK(system.calls_at(system.target(), "draining-") > 0);
         });
 }
+
+TEST_CASE("a target is not used while another one answers at its address")
+{
+    // The other one has not reported yet, or reports somewhere else.
+    on_worker(
+        [](worker& on)
+        {
+            three_hosts system(on);
+            auto& target = system.target();
+            target.crash();
+            target.restart("i-next");
+            CHECK(system.call_all("silent-", span) == 0);
+            // Requests that named the earlier target, and were not run.
+            CHECK(target.misdirected() <= 5);
+            CHECK(system.report(target, "ready") == 200);
+            system.call_all("next-", span);
+            CHECK(system.calls_at(target, "next-") > 0);
+        });
+}
