A departure closes the target whichever start of its id is in use

The target had started again under its id; a late report of its first start came after a cut in which the second could not report.

Cause: 5 s without a report made an earlier start the later one, and the departure of the later one closed its own start only. No request and no health check tells two starts under one id apart. With a killed node the second cause is enough: the late report is the first that its new process gets.

Why this works: of the starts under an id one lives. A report may have been sent before the latest start began for 10 s after the first report of that, and is stale until then; silence counts for nothing. A departure closes what is in use under its id; one that may be so old closes nothing and is answered 503. After the departure of a start that had begun shortly before, another one with a greater start time needs a health check: the model test found that an unknown earlier start whose clock was ahead revived the target.

--- a/include/tillerhall/control/report_controller.hpp
+++ b/include/tillerhall/control/report_controller.hpp
@@ -11,7 +11,7 @@
 enum class report_reply
 {
     acknowledged,
-    retry,      ///< a departure could not be persisted: report again
+    retry,      ///< the departure is not in force or not persisted
     misdirected ///< the report is not of this node's target
 };
 
--- a/include/tillerhall/targets/target_registry.hpp
+++ b/include/tillerhall/targets/target_registry.hpp
@@ -19,7 +19,7 @@
     opened,     ///< a target takes work that did not before
     changed,    ///< other properties of the target in use
     closed,     ///< the target in use takes no more work
-    stale,      ///< an older report, or one of a target that has left
+    stale,      ///< a report that is older than what is known
     unconfirmed ///< the target takes work once it is confirmed
 };
 
@@ -30,14 +30,23 @@
  *
  * A start of a target that has left never returns; a later start under the same
  * id is a new target. The reports of a start are ordered by their sequence, so
- * a late report has no effect; of two starts under one id the later one is in
- * use, and while a report of the earlier one may be under way nothing revives
- * that one, also after the later one has left. Among different ids the one
- * whose first report came last is in use; an older one takes over again only
- * with a report of a greater sequence. No target is in use before
- * `set_departures_known` is called: after a restart the node must not trust a
- * report that may be older than a departure which its earlier boot
- * acknowledged.
+ * a late report has no effect. Among different ids the one whose first report
+ * came last is in use; an older one takes over again only with a report of a
+ * greater sequence.
+ *
+ * Starts under one id share their address, and no request or health check tells
+ * them apart. A start with a greater start time than all others is the latest.
+ * A report of another start may have been sent before the latest one began, for
+ * `max_report_delay` after the first report of that; until then it is stale. If
+ * it arrives later, its start lives and is the latest: a clock was set back. A
+ * departure closes the target whichever start of its id is in use. One that may
+ * have been sent before the latest start began closes nothing and must not be
+ * acknowledged. If the start that left had begun less than `max_report_delay`
+ * before, a report of another one has to be confirmed.
+ *
+ * No target is in use before `set_departures_known` is called: after a restart
+ * the node must not trust a report that may be older than a departure which its
+ * earlier boot acknowledged.
  *
  * The record of such a departure can be lost, with the nodes that held it while
  * the store was down. After a restart a report may therefore have to be
@@ -66,11 +75,7 @@
     }
 
     /** @return the target whose report awaits confirmation, or null. */
-    const target_report* unconfirmed(time_point now) const noexcept
-    {
-        return m_unconfirmed && now < m_confirm_until ? &*m_unconfirmed
-                                                      : nullptr;
-    }
+    const target_report* unconfirmed(time_point now) const;
 
     /**
      * Confirms that @p start takes work, by evidence that is newer than the
@@ -124,23 +129,34 @@
     }
 
 private:
-    report_result take_leaving(const target_report& report);
+    report_result take_leaving(const target_report& report, time_point now);
+    /** No start of @p id is in use or awaits confirmation any more. */
+    void close(const std::string& id);
     /** @return the starts that @p report, which names none, can mean. */
     std::vector<std::string> known_starts_of(const target_report& report) const;
     report_result use(const target_report& report, time_point now);
-    bool needs_confirmation(const std::string& start, time_point now) const;
-    void note_start(const target_report& report, time_point now);
-    /** @return true if a later start under the same id is known, and the report
-     * was sent before it. */
-    bool is_outdated(const target_report& report, time_point now) const;
-
-    /** The latest start under an id, and when it first reported. */
+    bool needs_confirmation(const target_report& report, time_point now) const;
+    /** The latest start under an id. */
     struct latest_start
     {
         std::uint64_t started_ms = 0;
-        time_point seen{};
+        std::uint64_t greatest_ms = 0; ///< start time of any start of the id
+        time_point seen{};             ///< arrival of its first report
+        /** After a departure under the id a report that arrives before this
+         * may have been sent before that and needs confirmation. */
+        time_point confirm_until{};
     };
 
+    void note_start(const target_report& report, time_point now);
+    void set_latest(const target_report& report, time_point now);
+    /** @return true if @p report is of another start than @p latest and may
+     * have been sent before that began. */
+    static bool may_precede(const target_report& report,
+                            const latest_start& latest,
+                            time_point now);
+    /** @return true if @p report does not show that its start lives. */
+    bool is_outdated(const target_report& report, time_point now) const;
+
     std::map<std::string, latest_start> m_latest;     ///< by id
     std::map<std::string, std::uint64_t> m_sequences; ///< by start
     std::vector<std::string> m_departed;
--- a/src/control/report_controller.cpp
+++ b/src/control/report_controller.cpp
@@ -160,7 +160,8 @@
     if (result == report_result::stale)
     {
         note_refused(report, name_of(result));
-        return report_reply::acknowledged;
+        return report.state == report_state::ready ? report_reply::acknowledged
+                                                   : report_reply::retry;
     }
     if (result == report_result::unconfirmed)
         start_confirming(report);
--- a/src/targets/target_registry.cpp
+++ b/src/targets/target_registry.cpp
@@ -49,7 +49,8 @@
     return starts;
 }
 
-report_result target_registry::take_leaving(const target_report& report)
+report_result target_registry::take_leaving(const target_report& report,
+                                            time_point now)
 {
     // A departure that does not identify its start means the current one.
     auto starts = report.started_ms == 0 ? known_starts_of(report)
@@ -64,32 +65,61 @@
         is_new = !has_departed(start) || is_new;
         is_new = record_departure(start) || is_new;
     }
-    return is_new ? report_result::closed : report_result::unchanged;
+    const bool is_other_known = !known_starts_of(report).empty();
+    if (is_other_known && may_precede(report, m_latest[report.id], now))
+        return report_result::stale;
+    close(report.id);
+    set_latest(report, now);
+    auto& latest = m_latest[report.id];
+    latest.confirm_until = latest.seen + max_report_delay;
+    return is_new || is_other_known ? report_result::closed
+                                    : report_result::unchanged;
+}
+
+void target_registry::close(const std::string& id)
+{
+    for (auto* known : {&m_current, &m_unconfirmed})
+        if (*known && (*known)->id == id)
+            known->reset();
 }
 
 void target_registry::note_start(const target_report& report, time_point now)
 {
     auto& latest = m_latest[report.id];
-    if (report.started_ms > latest.started_ms)
-        latest = {report.started_ms, now};
+    if (report.started_ms <= latest.greatest_ms)
+        return;
+    latest.greatest_ms = report.started_ms;
+    set_latest(report, now);
+}
+
+void target_registry::set_latest(const target_report& report, time_point now)
+{
+    auto& latest = m_latest[report.id];
+    if (latest.started_ms == report.started_ms)
+        return;
+    latest.started_ms = report.started_ms;
+    latest.seen = now;
+}
+
+bool target_registry::may_precede(const target_report& report,
+                                  const latest_start& latest,
+                                  time_point now)
+{
+    return report.started_ms != latest.started_ms &&
+           now < latest.seen + max_report_delay;
 }
 
 bool target_registry::is_outdated(const target_report& report,
                                   time_point now) const
 {
-    const auto found = m_latest.find(report.id);
-    const bool is_current = m_current && m_current->start() == report.start();
-    if (is_current || found == m_latest.end() ||
-        report.started_ms >= found->second.started_ms)
+    const auto& latest = m_latest.at(report.id);
+    if (report.started_ms == latest.started_ms)
         return false;
-    // A clock that was set back can make a later start seem the earlier one. It
-    // takes over once the other has stopped reporting or, if that is not in
-    // use, once no report from before its start can be under way.
-    const auto& latest = found->second;
-    const bool is_used = m_current && m_current->id == report.id &&
-                         m_current->started_ms == latest.started_ms;
-    return now < (is_used ? m_last_report_at + report_timeout
-                          : latest.seen + max_report_delay);
+    // Of the starts under one id only one lives.
+    const bool is_other_used = m_current && m_current->id == report.id &&
+                               m_current->started_ms != report.started_ms;
+    return may_precede(report, latest, now) ||
+           (is_other_used && now < m_last_report_at + report_timeout);
 }
 
 report_result target_registry::take(const target_report& report, time_point now)
@@ -97,14 +127,15 @@
     note_start(report, now);
     // A departure is final, however late its report arrives.
     if (report.state != report_state::ready)
-        return take_leaving(report);
+        return take_leaving(report, now);
     const auto start = report.start();
     const auto seen = m_sequences.find(start);
     if (has_departed(start) || is_outdated(report, now) ||
         (seen != m_sequences.end() && report.sequence <= seen->second))
         return report_result::stale;
+    set_latest(report, now);
     m_sequences[start] = report.sequence;
-    if (needs_confirmation(start, now))
+    if (needs_confirmation(report, now))
     {
         m_unconfirmed = report;
         return report_result::unconfirmed;
@@ -112,11 +143,20 @@
     return use(report, now);
 }
 
-bool target_registry::needs_confirmation(const std::string& start,
+bool target_registry::needs_confirmation(const target_report& report,
                                          time_point now) const
 {
-    return now < m_confirm_until &&
-           std::ranges::find(m_confirmed, start) == m_confirmed.end();
+    const auto until =
+        std::max(m_confirm_until, m_latest.at(report.id).confirm_until);
+    return now < until &&
+           std::ranges::find(m_confirmed, report.start()) == m_confirmed.end();
+}
+
+const target_report* target_registry::unconfirmed(time_point now) const
+{
+    return m_unconfirmed && needs_confirmation(*m_unconfirmed, now)
+               ? &*m_unconfirmed
+               : nullptr;
 }
 
 report_result target_registry::confirm(const std::string& start, time_point now)
