A response with a status outside the range of HTTP answers nothing

After 000 or 099 a node waited for another response until the call's time was over; tillerd passed these on too.

Cause: only statuses below 200 were looked at, as interim responses.

Why this works: has_valid_status is asked where heads of responses are read, in the exchange of nodes (calls, health checks, messages of peers) and in the relay of tillerd. Such a response ends the exchange at once with an unknown outcome.

--- a/include/tillerhall/http/fields.hpp
+++ b/include/tillerhall/http/fields.hpp
@@ -50,6 +50,10 @@
  */
 std::string framing_fault(const request_head& head);
 
+/** @return whether @p head can belong to a response: its status has a class of
+ * RFC 9110, and is not 101 (Switching Protocols), for which no request asks. */
+bool has_valid_status(const response_head& head);
+
 /** @return the Host field without its port. */
 std::string host_service(const request_head& head);
 
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -105,6 +105,8 @@
             http::async_read_header(m_stream, m_buffer, parser, await{failed});
             if (failed)
                 return fail(failed, not_whole);
+            if (!has_valid_status(parser.get()))
+                return fail({}, "the response has no valid status");
             if (is_goaway(parser))
                 return discard();
             if (!is_final(parser))
--- a/src/http/fields.cpp
+++ b/src/http/fields.cpp
@@ -43,6 +43,13 @@
         fields.erase(name);
 }
 
+bool has_valid_status(const response_head& head)
+{
+    return http::to_status_class(head.result_int()) !=
+               http::status_class::unknown &&
+           head.result() != http::status::switching_protocols;
+}
+
 std::string framing_fault(const request_head& head)
 {
     if (head.count(http::field::host) != 1)
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -134,10 +134,12 @@
         m_parser->skip(m_plan.head.method() == http::verb::head);
         boost::system::error_code failed;
         http::async_read_header(m_upstream, m_buffer, *m_parser, await{failed});
-        if (!failed)
+        if (!failed && has_valid_status(m_parser->get()))
             return true;
         m_parser.reset();
-        return fail(relay_end::unknown, "no answer came: " + failed.message(),
+        return fail(relay_end::unknown,
+                    failed ? "no answer came: " + failed.message()
+                           : "the answer has no valid status",
                     failed);
     }
 
--- a/standins/target/target_standin.cpp
+++ b/standins/target/target_standin.cpp
@@ -41,6 +41,7 @@
     behaviour_entry{"drain", &target_behaviour::drain},
     behaviour_entry{"lie_healthy", &target_behaviour::lie_healthy},
     behaviour_entry{"fail", &target_behaviour::fail},
+    behaviour_entry{"status", &target_behaviour::status},
     behaviour_entry{"hang", &target_behaviour::hang},
     behaviour_entry{"health_lag_ms", &target_behaviour::health_lag_ms},
     behaviour_entry{"reset_before_answer",
@@ -316,6 +317,8 @@
         m_behaviour.fail != 0 ? http::status::internal_server_error
                               : http::status::ok,
         11);
+    if (m_behaviour.status >= 0)
+        response.result(static_cast<unsigned>(m_behaviour.status));
     json::object body{{"target", m_name},
                       {"id", std::string(call.head()[field_name::request_id])},
                       {"bytes", bytes},
--- a/standins/target/target_standin.hpp
+++ b/standins/target/target_standin.hpp
@@ -28,6 +28,7 @@
     std::int64_t drain = 0;         ///< 1: /health answers 503, calls still run
     std::int64_t lie_healthy = 0;   ///< 1: /health always answers 200
     std::int64_t fail = 0;          ///< 1: every run answers 500
+    std::int64_t status = -1;       ///< of the answers, also an invalid one
     std::int64_t rate_limit = -1;   ///< calls a second, named if at least 0
     std::int64_t hang = 0;          ///< 1: runs never answer
     std::int64_t health_lag_ms = 0; ///< age of the state in /health and /load
--- a/tests/integration/calls.cpp
+++ b/tests/integration/calls.cpp
@@ -65,6 +65,28 @@
         });
 }
 
+TEST_CASE("a status outside the range of HTTP is no answer")
+{
+    // Guards against one that is passed on, or after which another is awaited.
+    const auto status = GENERATE(0, 99, 600, 999);
+    CAPTURE(status);
+    on_worker(
+        [=](worker& on)
+        {
+            started_cluster system(on, four_nodes());
+            for (std::size_t i = 0; i < 3; ++i)
+                system.set_target(i, {{"status", status}});
+            for (std::size_t through = 0; through < 4; ++through)
+            {
+                caller from(on.io(), system.nodes()[through].caller);
+                const auto outcome =
+                    from.call({"oogstbeurs", "odd", "POST", "/sell", "1"});
+                CHECK(outcome.status == 502);
+                CHECK(outcome.outcome == "outcome-unknown");
+            }
+        });
+}
+
 TEST_CASE("exactly the calls that did not run are refused as not run")
 {
     on_worker(
--- a/tests/integration/exchange.cpp
+++ b/tests/integration/exchange.cpp
@@ -60,6 +60,43 @@
                   answered, "", 1},
     response_case{"200 OK\r\nId: b\r\n\r\nno", unknown, ""}};
 
+/** Sends a request to a server that responds with @p text and, if it
+ * @p stays_open, keeps the connection. */
+exchange_result exchange_with(worker& on,
+                              const std::string& text,
+                              boost::beast::http::verb method,
+                              bool stays_open)
+{
+    // Never destroyed: its fibers outlive the test.
+    auto& server = *listener::open(on, {"127.0.0.1", 0})->release();
+    server.start(
+        [&on, text, stays_open](tcp_stream& stream)
+        {
+            boost::system::error_code failed;
+            std::string request;
+            boost::asio::async_read_until(stream,
+                                          boost::asio::dynamic_buffer(request),
+                                          "\r\n\r\n", await{failed});
+            boost::asio::async_write(stream, boost::asio::buffer(text),
+                                     await{failed});
+            if (!stays_open)
+                stream.socket().shutdown(
+                    boost::asio::socket_base::shutdown_send, failed);
+            while (stays_open && !peer_has_closed(stream))
+                sleep_for(on.io(), milliseconds(5));
+        });
+    auto stream =
+        connect_stream(on.io(), server.local(), std::chrono::seconds(2));
+    REQUIRE(stream);
+    whole_request request(method, "/x", 11);
+    cancel_scope scope;
+    return exchange(**stream, request,
+                    {.deadline = steady_clock::now() + std::chrono::seconds(2),
+                     .id_field = "Id",
+                     .id = "a"},
+                    scope);
+}
+
 } // namespace
 
 TEST_CASE("only a complete response with the request's id is accepted")
@@ -69,36 +106,32 @@
     on_worker(
         [=](worker& on)
         {
-            // Never destroyed: its fibers outlive the test.
-            auto& server = *listener::open(on, {"127.0.0.1", 0})->release();
-            server.start(
-                [&](tcp_stream& stream)
-                {
-                    boost::system::error_code failed;
-                    std::string request;
-                    boost::asio::async_read_until(
-                        stream, boost::asio::dynamic_buffer(request),
-                        "\r\n\r\n", await{failed});
-                    const auto text = std::string("HTTP/1.1 ") + each.sent;
-                    boost::asio::async_write(stream, boost::asio::buffer(text),
-                                             await{failed});
-                    stream.socket().shutdown(
-                        boost::asio::socket_base::shutdown_send, failed);
-                });
-            auto stream = connect_stream(on.io(), server.local(),
-                                         std::chrono::seconds(2));
-            REQUIRE(stream);
-            whole_request request(each.method, "/x", 11);
-            cancel_scope scope;
-            const auto result = exchange(
-                **stream, request,
-                {.deadline = steady_clock::now() + std::chrono::seconds(2),
-                 .id_field = "Id",
-                 .id = "a"},
-                scope);
+            const auto result = exchange_with(
+                on, std::string("HTTP/1.1 ") + each.sent, each.method, false);
             CHECK(result.end == each.end);
             CHECK(result.skipped == each.skipped);
             if (each.end == answered)
                 CHECK(result.response->body() == each.body);
         });
 }
+
+TEST_CASE("a response with a status outside the range of HTTP answers nothing")
+{
+    // Guards against one that is passed on, or after which another is awaited.
+    const auto* const status = GENERATE("000", "099", "101", "600", "999");
+    const auto* const id = GENERATE("a", "b");
+    const std::size_t body_bytes = GENERATE(0U, 2U);
+    CAPTURE(status, id, body_bytes);
+    on_worker(
+        [=](worker& on)
+        {
+            const auto text =
+                std::string("HTTP/1.1 ") + status + " No\r\nId: " + id +
+                "\r\nContent-Length: " + std::to_string(body_bytes) +
+                "\r\n\r\n" + std::string(body_bytes, 'x');
+            const auto result =
+                exchange_with(on, text, boost::beast::http::verb::get, true);
+            CHECK(result.end == unknown);
+            CHECK_FALSE(result.reusable);
+        });
+}
