Tests: requests that arrive late in a planned stop

Reported by operators of other systems: requests taken late in the grace were passed on and cut at its end. It was not shown here: a call that is known to run longer than its node has left is refused at once, also where its owner stops, and requests on kept, pipelining and new connections, from the signal until the process is gone, are answered or reach no target.

--- a/tests/integration/planned_stops.cpp
+++ b/tests/integration/planned_stops.cpp
@@ -2,6 +2,7 @@
  *
  * Guards against calls that end without an answer since their node stops. */
 #include "open_loop.hpp"
+#include "pipelining_clients.hpp"
 
 #include "tillerhall/core/stop_signal.hpp"
 
@@ -127,6 +128,72 @@
         });
 }
 
+TEST_CASE(
+    "a call that is known to run longer than its node has left is refused "
+    "at once")
+{
+    // Guards against calls that are begun in a planned stop and cut at its end.
+    const bool entry_stops = GENERATE(true, false);
+    CAPTURE(entry_stops);
+    on_worker(
+        [=](worker& on)
+        {
+            two_hosts system(on);
+            system.target().faults().work = milliseconds(2'500);
+            for (const auto* id : {"a", "b", "c"})
+                REQUIRE(system.call(system.entry(), id, "/sales/x", "", 6'000)
+                            .status == 200);
+            auto& stopping = entry_stops ? system.entry() : system.owner();
+            stopping.node.send(SIGTERM);
+            sleep_for(on.io(), milliseconds(1'500));
+            const auto begin = steady_clock::now();
+            const auto answer =
+                system.call(system.entry(), "late", "/sales/x", "", 6'000);
+            CHECK(answer.status == 503);
+            CHECK_FALSE(answer.retry_after.empty());
+            CHECK(steady_clock::now() - begin < milliseconds(200));
+            CHECK(system.runs_of("late") == 0);
+        });
+}
+
+TEST_CASE("requests from the signal until the process is gone are answered, or "
+          "reach no target")
+{
+    // Guards against requests that are taken late in a planned stop and cut.
+    on_worker(
+        [](worker& on)
+        {
+            two_hosts system(on);
+            system.target().faults().work = milliseconds(300);
+            random_source random(1);
+            // On kept connections, with up to three requests in line.
+            pipelining_clients clients(
+                system, random,
+                {.routes = {{"/sales/x", true}, {"/fields/x"}}});
+            const auto until = steady_clock::now() + stop_grace;
+            clients.start(6, until);
+            sleep_for(on.io(), milliseconds(100));
+            system.entry().node.send(SIGTERM);
+            // On new connections.
+            open_loop load(system, {.prefix = "n-",
+                                    .path = "/sales/x",
+                                    .per_s = 40,
+                                    .span = stop_grace,
+                                    .entries = {0}});
+            int cut = 0;
+            for (const auto& each : load.finish())
+                cut += each.answer.status != 200 && system.runs_of(each.id) > 0
+                           ? 1
+                           : 0;
+            REQUIRE(system.wait_until([&] { return clients.open() == 0; }));
+            for (const auto& each : clients.requests())
+                cut +=
+                    each.status != 200 && system.runs_of(each.id) > 0 ? 1 : 0;
+            CHECK(cut == 0);
+            CHECK_FALSE(system.entry().node.is_running());
+        });
+}
+
 TEST_CASE("an answer that is being sent at the end of a stop is sent whole")
 {
     on_worker(
