Responses keep their memory until they are sent, and are not copied

What callers saw: nothing yet. Six clients ask for 48 MiB each and do not read: the node had 258 MB where 256 are allowed, and would be killed with all calls that it has in flight.

Cause: the memory of a response was given back when it had been read and taken again when it was about to be written, so that another one fitted in between; and call_entry copied each response when it returned it, since a conditional expression of a moved and of a named object makes a new one.

Why this works: the memory goes with the response, from the exchange to the session that has sent it, and the response is moved.

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -71,8 +71,8 @@
     /** Makes the response that is sent to no request before an idle connection
      * is closed; may be null. */
     std::function<whole_response()> goaway = nullptr;
-    /** Memory for the bodies of requests until they are answered, and for
-     * responses until they are sent; may be null. */
+    /** Memory for the bodies of requests until they are answered; may be
+     * null. */
     body_budget* bodies = nullptr;
     body_kind request_kind = body_kind::client_request;
     /** @return the time that a call has from its arrival; needed with
@@ -143,13 +143,11 @@
     {
         explicit pending_call(const session_host& host)
             : body(host.bodies, host.request_kind)
-            , response_body(host.bodies)
         {
         }
 
         received_request request;
         body_budget::body body; ///< of the request
-        body_budget::body response_body;
         cancel_scope scope;
         whole_response response;
         bool done = false;
--- a/include/tillerhall/http/exchange.hpp
+++ b/include/tillerhall/http/exchange.hpp
@@ -11,7 +11,6 @@
 namespace tillerhall
 {
 
-class body_budget;
 class exchange_observer;
 
 /** How an exchange ended. */
@@ -39,7 +38,7 @@
     /** Marks a response after which the peer runs no request of the
      * connection that it has not answered; empty if it sends none. */
     std::string goaway_field{};
-    /** Memory for the response's body while it is received; may be null. A
+    /** Memory for the response's body; may be null. A
      * response that does not fit is given up, with the end `unknown`. */
     body_budget* bodies = nullptr;
 };
@@ -48,6 +47,7 @@
 {
     exchange_end end = exchange_end::unknown;
     std::optional<whole_response> response;
+    body_memory memory{};  ///< of the response's body; null without a budget
     std::string detail;    ///< the reason, unless answered
     bool reusable = false; ///< the stream can carry another exchange
     unsigned skipped = 0;  ///< responses to other requests
--- a/include/tillerhall/http/whole_message.hpp
+++ b/include/tillerhall/http/whole_message.hpp
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "tillerhall/core/time.hpp"
+#include "tillerhall/http/body_budget.hpp"
 #include "tillerhall/http/fields.hpp"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <memory>
 
 namespace tillerhall
 {
@@ -37,6 +39,9 @@
         response.prepare_payload();
 }
 
+/** Memory of a body in a `body_budget`. */
+using body_memory = std::shared_ptr<body_budget::body>;
+
 /** A request as it was received. */
 struct received_request
 {
@@ -45,6 +50,9 @@
     time_point received{};
     /** Time by which the answer should arrive; set by the code that answers. */
     time_point answer_due = time_point::max();
+    /** Of the answer's body, which another one sent; set by the code that
+     * answers, and kept until the answer is sent. */
+    body_memory answer_memory{};
 };
 
 } // namespace tillerhall
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -386,7 +386,6 @@
         [this, self = shared_from_this(), call]
         {
             call->response = m_host.answer(call->request, call->scope);
-            call->response_body.hold(call->response.body().size());
             std::string().swap(call->request.message.body());
             call->body.release();
             finish(*call);
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -125,7 +125,8 @@
         if (m_plan.observer != nullptr)
             m_plan.observer->response_began();
         response_parser parser(std::move(head));
-        body_budget::body body(m_plan.bodies);
+        m_result.memory = std::make_shared<body_budget::body>(m_plan.bodies);
+        auto& body = *m_result.memory;
         const auto length = parser.content_length();
         if (!length)
             parser.body_limit(max_unframed_body_bytes);
@@ -248,6 +249,7 @@
     {
         m_result.end = end;
         m_result.detail = std::move(detail);
+        m_result.memory.reset();
         return std::move(m_result);
     }
 
--- a/src/proxy/call_entry.cpp
+++ b/src/proxy/call_entry.cpp
@@ -202,6 +202,7 @@
     record_outcome(state, message, answer);
     if (caller.account != nullptr && state.targets_reached == 0)
         m_quotas.give_back(*caller.account);
+    request.answer_memory = std::move(answer.memory);
     return m_answers.response_to(id, state.may_have_run, std::move(answer));
 }
 
@@ -371,13 +372,13 @@
                 last.retry_after = chosen.domain_full_for;
         }
         if (!owner)
-            return failure ? std::move(*failure) : last;
+            return std::move(failure ? *failure : last);
         last = try_and_repeat(request, state, *owner, scope);
         if (last.end == call_end::not_run)
             last.retry_after = retry_after_of(state, last);
         const bool answered = last.end == call_end::answered;
         if (!may_retry(request, state, last, scope))
-            return failure && !answered ? std::move(*failure) : last;
+            return std::move(failure && !answered ? *failure : last);
         if (answered)
             failure = std::exchange(last, {});
         state.tried.push_back(owner->rpc);
--- a/src/proxy/call_entry_peers.cpp
+++ b/src/proxy/call_entry_peers.cpp
@@ -100,7 +100,11 @@
     if (result.reusable)
         m_pool.give_back(owner.peer, std::move(*stream), idle_kept);
     if (result.end == exchange_end::answered)
-        return from_hop_response(std::move(*result.response));
+    {
+        auto answer = from_hop_response(std::move(*result.response));
+        answer.memory = std::move(result.memory);
+        return answer;
+    }
     failed.reached = is_handed_over(result.end);
     if (result.end == exchange_end::unknown || !failed.reached)
         m_report_unreachable(owner.rpc);
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -1007,6 +1007,7 @@
     }
     remove_hop_fields(response);
     answer.response = std::move(response);
+    answer.memory = std::move(result.memory);
     return answer;
 }
 
@@ -1053,6 +1054,7 @@
     auto answer = run(request.message, *call, scope);
     if (is_limited)
         ended_early(answer);
+    request.answer_memory = std::move(answer.memory);
     return to_hop_response(std::move(answer), *call, m_names.request_id);
 }
 
--- a/tests/integration/endless_responses.cpp
+++ b/tests/integration/endless_responses.cpp
@@ -124,3 +124,37 @@
 {
     check_calls_beside(GENERATE(from_range(kinds)));
 }
+
+TEST_CASE("large responses that their clients do not read stay within memory")
+{
+    // Guards against responses in no account while they wait to be sent.
+    constexpr std::size_t body_bytes = 48 * 1024 * 1024;
+    constexpr int clients = 6;
+    on_worker(
+        [&](worker& on)
+        {
+            endless_system system(on);
+            system.faulty().faults().body_bytes = body_bytes;
+            std::vector<std::unique_ptr<tcp_stream>> streams;
+            for (int i = 0; i < clients; ++i)
+            {
+                auto stream =
+                    connect_stream(on.io(), system.hosts()[0].at["caller"],
+                                   std::chrono::seconds(2));
+                REQUIRE(stream);
+                const auto request =
+                    "GET /fields/x HTTP/1.1\r\nHost: shop.example\r\n"
+                    "X-Request-Attempt-Id: large-" +
+                    std::to_string(i) + "\r\n\r\n";
+                boost::system::error_code failed;
+                boost::asio::async_write(**stream, boost::asio::buffer(request),
+                                         await{failed});
+                streams.push_back(std::move(*stream));
+            }
+            sleep_for(on.io(), std::chrono::seconds(3));
+            for (auto& each : system.hosts())
+                CHECK(system.call(each, "beside", "/sales/x").status == 200);
+            INFO(system.most_memory_mb() << " MB at most");
+            CHECK(system.most_memory_mb() < memory_limit_mb);
+        });
+}
