Bodies that wait for memory are granted in the order of their arrival

What callers saw: nothing yet. A large upload that waits would be passed by every smaller one that fits, until its time is over; and behind one whose time was over a smaller one waited on though there was room.

Cause: a session took memory before it looked at the queue, and a body that stopped waiting granted nothing to the next one.

Why this works: only bodies that are small against the budget are granted past the queue, and the queue is looked through when a body leaves it.

--- a/src/http/body_budget.cpp
+++ b/src/http/body_budget.cpp
@@ -72,7 +72,11 @@
     self.wake.expires_after(latest - now);
     boost::system::error_code woken;
     self.wake.async_wait(await{woken});
-    return self.is_granted;
+    if (self.is_granted)
+        return true;
+    self.unlink();
+    m_from->grant_waiting(); // the next one may need less
+    return false;
 }
 
 void body_budget::body::release() noexcept
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -288,7 +288,8 @@
                                 const request_head& head,
                                 std::uint64_t bytes)
 {
-    if (m_host.bodies == nullptr || into.body.take(bytes))
+    if (m_host.bodies == nullptr ||
+        (m_host.bodies->is_minor(bytes) && into.body.take(bytes)))
         return true;
     const auto left = std::min<duration>(body_timeout, m_host.time_left(head));
     const auto latest = into.request.received + left / body_wait_parts;
--- a/tests/integration/request_bodies.cpp
+++ b/tests/integration/request_bodies.cpp
@@ -210,6 +210,67 @@
         });
 }
 
+TEST_CASE("bodies that wait are granted in the order of their arrival")
+{
+    // Guards against large bodies that smaller ones pass for ever.
+    run_main_fiber(
+        [](worker& on)
+        {
+            constexpr auto size = small_host::body_bytes;
+            small_host host(on, std::chrono::seconds(10));
+            body_budget::body others(&host.bodies);
+            others.hold(size);
+            std::vector<std::string> answered;
+            const auto upload = [&](const std::string& id, std::size_t bytes)
+            {
+                uploading_client client(on, host.listening->local());
+                client.upload(head_of(id, "/", bytes), bytes);
+                answered.push_back(id);
+            };
+            run_parallel({[&] { upload("large", 2 * size); },
+                          [&]
+                          {
+                              sleep_for(on.io(), milliseconds(50));
+                              upload("fits", size);
+                          },
+                          [&]
+                          {
+                              sleep_for(on.io(), milliseconds(100));
+                              others.release();
+                          }});
+            CHECK(answered == std::vector<std::string>{"large", "fits"});
+            host.finish(on);
+            return 0;
+        });
+}
+
+TEST_CASE("a body that stops waiting leaves its turn to the next one")
+{
+    run_main_fiber(
+        [](worker& on)
+        {
+            constexpr auto size = small_host::body_bytes;
+            body_budget bodies(4 * size);
+            const auto kind = body_kind::client_request;
+            body_budget::body others(&bodies, kind);
+            others.hold(size);
+            body_budget::body large(&bodies, kind);
+            body_budget::body next(&bodies, kind);
+            const auto now = steady_clock::now();
+            run_parallel(
+                {[&] {
+                     CHECK_FALSE(large.wait_for(on.io(), 2 * size,
+                                                now + milliseconds(100)));
+                 },
+                 [&] {
+                     CHECK(next.wait_for(on.io(), size,
+                                         now + std::chrono::seconds(5)));
+                 }});
+            CHECK(steady_clock::now() - now < std::chrono::seconds(1));
+            return 0;
+        });
+}
+
 TEST_CASE("a client that expects 100 (Continue) gets it once there is memory")
 {
     run_main_fiber(
