Discard the input after a last answer in larger reads

A refused upload of 48 MiB was discarded 64 KiB at a time, but each connection that closes took a buffer of that size too. The buffer now grows when a read has filled the small one. No measurement was made.

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -121,6 +121,10 @@
     using request_parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /** A typical request head; each idle connection holds a buffer of this
+     * size. */
+    static constexpr std::size_t first_read_bytes = 512;
+
     /** Adds one to a count while this object lives. */
     class scoped_count
     {
@@ -168,7 +172,7 @@
                  std::shared_ptr<tcp_stream> stream,
                  session_host& host);
 
-    void wait_for_bytes();
+    void wait_for_bytes(std::size_t read_bytes = first_read_bytes);
     /** @return the timeout of a read that may take @p limit by itself. */
     duration read_timeout(duration limit) const;
     /** Closes the session if the request that is being read takes longer than
--- a/include/tillerhall/http/exchange.hpp
+++ b/include/tillerhall/http/exchange.hpp
@@ -38,8 +38,8 @@
     /** Marks a response after which the peer runs no request of the
      * connection that it has not answered; empty if it sends none. */
     std::string goaway_field{};
-    /** Memory for the response's body; may be null. A
-     * response that does not fit is given up, with the end `unknown`. */
+    /** Memory for the response's body; may be null. A response that does not
+     * fit is given up, with the end `unknown`. */
     body_budget* bodies = nullptr;
 };
 
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -37,8 +37,6 @@
 constexpr std::chrono::seconds linger_time(1);
 // A worker that has been busy for less than this reads a close soon enough.
 constexpr milliseconds busy_check_limit(20);
-// A typical request head; each idle connection holds a buffer of this size.
-constexpr std::size_t first_read_bytes = 512;
 // Typical size of a response head with packet headers, for the link scheduler.
 constexpr std::uint64_t head_bytes = 300;
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -136,13 +134,12 @@
     linger();
 }
 
-void call_session::wait_for_bytes()
+void call_session::wait_for_bytes(std::size_t read_bytes)
 {
     m_reading = true;
     m_stream->expires_after(read_timeout(m_host.limits().idle_timeout));
-    // Input after the last answer is discarded.
     m_stream->async_read_some(
-        m_buffer.prepare(m_closing ? max_read_bytes : first_read_bytes),
+        m_buffer.prepare(read_bytes),
         [self = shared_from_this()](const boost::system::error_code& failed,
                                     std::size_t size)
         { self->on_read(failed, size); });
@@ -189,7 +186,8 @@
     m_buffer.clear();
     m_reading = false;
     if (m_stream->socket().is_open())
-        wait_for_bytes();
+        wait_for_bytes(size < first_read_bytes ? first_read_bytes
+                                               : max_read_bytes);
 }
 
 void call_session::read_calls()
