--- a/standins/platform_standin/reporting_target.cpp
+++ b/standins/platform_standin/reporting_target.cpp
@@ -173,16 +173,33 @@
     if (m_has_crashed)
         return 0;
     m_is_leaving = m_is_leaving || state == "draining";
+    return send_report(to, m_id, m_start_time_ms, state, sequence);
+}
+
+unsigned reporting_target::report_late(const address& to,
+                                       const std::string& id,
+                                       std::uint64_t started_ms,
+                                       std::uint64_t sequence)
+{
+    return send_report(to, id, started_ms, "ready", sequence);
+}
+
+unsigned reporting_target::send_report(const address& to,
+                                       const std::string& id,
+                                       std::uint64_t started_ms,
+                                       const std::string& state,
+                                       std::uint64_t sequence)
+{
     boost::json::object body{
         {"service", m_service}, {"address", m_reported_at.text()},
         {"zone", "d1"},         {"version", m_release},
         {"slots", m_slots},     {"state", state},
         {"sequence", sequence}, {"coldRemaining", m_cold_for.count()}};
-    if (m_start_time_ms != 0)
-        body["born"] = m_start_time_ms;
+    if (started_ms != 0)
+        body["born"] = started_ms;
     api_client client(m_worker.io(), to);
     const auto answer =
-        client.call("POST", "/instances/" + m_id + "/heartbeat",
+        client.call("POST", "/instances/" + id + "/heartbeat",
                     boost::json::serialize(body), report_timeout);
     return answer ? answer->status : 0;
 }
@@ -247,8 +264,8 @@
         ++m_misdirected;
         return read_rest(call) && send(call, 421, true);
     }
-    m_arrivals.push_back(
-        {std::string(call.head()[id_field]), m_id, steady_clock::now()});
+    m_arrivals.push_back({std::string(call.head()[id_field]), m_id,
+                          steady_clock::now(), m_start_time_ms});
     if (consume(m_faults.early_answers))
     {
         m_runs.push_back(
--- a/standins/platform_standin/reporting_target.hpp
+++ b/standins/platform_standin/reporting_target.hpp
@@ -83,6 +83,7 @@
     std::string id;
     std::string target_id; ///< the start at which it arrived
     time_point at{};
+    std::uint64_t started_ms = 0; ///< start time of that, 0 if not set
 };
 
 /** One endless response. */
@@ -114,6 +115,7 @@
     void set_cold_for(milliseconds span) { m_cold_for = span; }
     /** Sets the start time in its reports, Unix milliseconds; 0 omits it. */
     void set_start_time_ms(std::uint64_t at) { m_start_time_ms = at; }
+    std::uint64_t start_time_ms() const noexcept { return m_start_time_ms; }
     target_faults& faults() noexcept { return m_faults; }
     const std::vector<target_run>& runs() const noexcept { return m_runs; }
     /** Requests that named this target as the expected one. */
@@ -150,10 +152,22 @@
     unsigned
     report(const address& to, const std::string& state, std::uint64_t sequence);
 
+    /** Sends the report of another start than the present one, which is late.
+     * @return HTTP status, 0 if unanswered. */
+    unsigned report_late(const address& to,
+                         const std::string& id,
+                         std::uint64_t started_ms,
+                         std::uint64_t sequence);
+
     /** Deregisters from the node. @return HTTP status, 0 if unanswered. */
     unsigned leave(const address& to);
 
 private:
+    unsigned send_report(const address& to,
+                         const std::string& id,
+                         std::uint64_t started_ms,
+                         const std::string& state,
+                         std::uint64_t sequence);
     void serve(tcp_stream& stream);
     void serve_calls(tcp_stream& stream);
     bool serve_one(inbound_call& call);
--- a/tests/integration/departures_soak.cpp
+++ b/tests/integration/departures_soak.cpp
@@ -1,5 +1,6 @@
-/** @file Targets that leave while nodes are killed, stopped and frozen and the
- * store is down, with reports that come late.
+/** @file Targets that leave or crash and start again, also under their id,
+ * while nodes are killed, stopped and frozen and the store is down, with
+ * reports that come late.
  *
  * Guards against calls to a target whose departure was acknowledged. */
 #include "node_faults.hpp"
@@ -18,7 +19,10 @@
 constexpr std::chrono::seconds drain_limit(2);
 constexpr milliseconds report_interval(300);
 
-/** Targets that report, leave and start again. */
+/** The id of a target and the time of its start. */
+using target_start = std::pair<std::string, std::uint64_t>;
+
+/** Targets that report, leave or crash, and start again. */
 class departures
 {
 public:
@@ -31,8 +35,8 @@
             system.on().spawn([this, &each] { play(each); });
     }
 
-    /** @return when departures were acknowledged, by the id of the target. */
-    const std::map<std::string, time_point>& acknowledged() const
+    /** @return when departures were acknowledged. */
+    const std::map<target_start, time_point>& acknowledged() const
     {
         return m_acknowledged;
     }
@@ -42,7 +46,8 @@
     void play(mesh_host& host)
     {
         std::uint64_t sequence = 1'000;
-        for (int start = 1; steady_clock::now() < m_until; ++start)
+        host.target->set_start_time_ms(first_start_ms);
+        for (std::uint64_t start = 1; steady_clock::now() < m_until; ++start)
         {
             const auto leaves_at = steady_clock::now() +
                                    milliseconds(1'000 + m_random.below(4'000));
@@ -51,9 +56,14 @@
                 report(host, ++sequence);
                 sleep_for(m_system.on().io(), report_interval);
             }
-            leave(host, ++sequence);
-            host.target->restart(host.target->id() + '-' +
-                                 std::to_string(start));
+            if (m_random.below(3) != 0)
+                leave(host, ++sequence);
+            host.target->crash();
+            sleep_for(m_system.on().io(), milliseconds(m_random.below(700)));
+            const auto id = host.target->id();
+            host.target->restart(
+                m_random.below(2) == 0 ? id : id + '-' + std::to_string(start));
+            host.target->set_start_time_ms(first_start_ms + start * 1'000);
         }
         ++m_done;
     }
@@ -64,12 +74,11 @@
         const milliseconds delay(m_random.below(3) == 0 ? m_random.below(9'000)
                                                         : 0);
         m_system.on().spawn(
-            [this, &host, sequence, delay, id = host.target->id()]
+            [this, &host, sequence, delay, start = start_of(host)]
             {
                 sleep_for(m_system.on().io(), delay);
-                if (host.target->id() == id)
-                    host.target->report(host.at["operators"], "ready",
-                                        sequence);
+                host.target->report_late(host.at["operators"], start.first,
+                                         start.second, sequence);
             });
     }
 
@@ -86,15 +95,22 @@
                            host.target->report(host.at["operators"], "draining",
                                                sequence) == 200;
             if (acknowledged)
-                m_acknowledged.emplace(host.target->id(), steady_clock::now());
+                m_acknowledged.emplace(start_of(host), steady_clock::now());
             sleep_for(m_system.on().io(), report_interval);
         }
     }
 
+    static target_start start_of(const mesh_host& host)
+    {
+        return {host.target->id(), host.target->start_time_ms()};
+    }
+
+    static constexpr std::uint64_t first_start_ms = 1'000'000;
+
     mesh_system& m_system;
     random_source& m_random;
     time_point m_until;
-    std::map<std::string, time_point> m_acknowledged;
+    std::map<target_start, time_point> m_acknowledged;
     std::size_t m_done = 0;
 };
 
@@ -140,8 +156,8 @@
             for (const auto& host : system.hosts())
                 for (const auto& each : host.target->arrivals())
                 {
-                    const auto left =
-                        targets.acknowledged().find(each.target_id);
+                    const auto left = targets.acknowledged().find(
+                        {each.target_id, each.started_ms});
                     late += left != targets.acknowledged().end() &&
                                     each.at > left->second + drain_limit
                                 ? 1
