Chunk extensions and trailer fields are bounded by the read buffer

What callers saw: four connections with a chunked request whose trailer fields (or one chunk extension) had no end took a node with 64 MB to 296 MB; on the platform nodes of 260 MB were killed 22 and 23 times in 25 s.

Cause: a session's read buffer had no maximum size, and Beast applies header_limit to the head only. For a chunk header and for trailer fields the parser asks for more until it finds their end.

Fix: the buffer holds a head and one read at most, so that the parser fails with buffer_overflow in any state; the request is answered 431. The same in serve_api, inbound_call, the relay and api_client.

--- a/include/tillerhall/http/inbound_call.hpp
+++ b/include/tillerhall/http/inbound_call.hpp
@@ -32,6 +32,9 @@
 public:
     static constexpr std::uint32_t max_head_bytes = 16 * 1024;
     static constexpr std::size_t max_prefix_bytes = 64 * 1024;
+    /** Maximum of the bytes read ahead: a head, a chunk extension or the
+     * trailer fields, and one read. */
+    static constexpr std::size_t max_buffer_bytes = 128 * 1024;
 
     /** @param buffer bytes read ahead, shared by all calls of @p stream */
     inbound_call(tcp_stream& stream, boost::beast::flat_buffer& buffer);
--- a/src/http/api_client.cpp
+++ b/src/http/api_client.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::size_t max_idle = 4;
 constexpr std::size_t max_answer_bytes = 64 * 1024 * 1024;
+// Holds the largest head and one read of a body.
+constexpr std::size_t max_buffer_bytes = 128 * 1024;
 // Limit of the whole time of an answer that arrives without long pauses.
 constexpr std::chrono::seconds max_transfer(10);
 
@@ -99,7 +101,7 @@
     response.wire_out = http::async_write(*stream, message, await{failed});
     if (failed)
         return stream_error(failed, "cannot send to", m_server);
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(max_buffer_bytes);
     answer_parser parser;
     parser.body_limit(max_answer_bytes);
     parser.skip(request.method == "HEAD");
--- a/src/http/api_server.cpp
+++ b/src/http/api_server.cpp
@@ -12,6 +12,9 @@
 namespace http = boost::beast::http;
 using request_parser = http::request_parser<http::string_body>;
 
+// A read of a body, besides the head.
+constexpr std::size_t max_read_bytes = 64 * 1024;
+
 http_request to_request(const http::request<http::string_body>& from)
 {
     http_request request;
@@ -24,7 +27,8 @@
 
 unsigned status_for(const boost::system::error_code& failed)
 {
-    if (failed == http::error::header_limit)
+    if (failed == http::error::header_limit ||
+        failed == http::error::buffer_overflow)
         return 431;
     if (failed == http::error::body_limit)
         return 413;
@@ -57,7 +61,7 @@
                const api_handler& handle,
                const api_limits& limits)
 {
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(limits.header_bytes + max_read_bytes);
     bool keep_alive = true;
     while (keep_alive)
     {
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -47,6 +47,8 @@
         return {431, "the head is over the limit in force"};
     if (failed == http::error::body_limit)
         return {413, "the body is over the limit in force"};
+    if (failed == http::error::buffer_overflow)
+        return {431, "a chunk extension or the trailer fields are too long"};
     return {400, "not a request: " + failed.message()};
 }
 
@@ -198,6 +200,8 @@
         more = read_call();
     m_reading = false;
     m_input_done = !more;
+    if (m_input_done)
+        m_buffer.clear(); // also the rest of an invalid request
     if (m_buffer.size() == 0)
     {
         m_buffer.clear();
@@ -241,6 +245,10 @@
                                                    const client_limits& limits,
                                                    request_fault& fault)
 {
+    // The parser applies its limit to the head only; chunk extensions and
+    // trailer fields are bounded by the buffer.
+    m_buffer.max_size(
+        std::max(m_buffer.size(), limits.head_bytes + max_read_bytes));
     parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     parser.body_limit(limits.body_bytes);
     const auto watch =
--- a/src/http/inbound_call.cpp
+++ b/src/http/inbound_call.cpp
@@ -1,6 +1,7 @@
 #include "tillerhall/http/inbound_call.hpp"
 #include "tillerhall/core/await.hpp"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -17,6 +18,9 @@
     : m_stream(stream)
     , m_buffer(buffer)
 {
+    // The parser applies its limit to the head only; chunk extensions and
+    // trailer fields are bounded by the buffer.
+    m_buffer.max_size(std::max(m_buffer.size(), max_buffer_bytes));
     m_parser.header_limit(max_head_bytes);
     m_parser.body_limit(boost::none);
 }
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::size_t piece_bytes = 64 * 1024;
 constexpr std::uint32_t max_response_head_bytes = 32 * 1024;
+// Holds the largest head and one read of a body.
+constexpr std::size_t max_buffer_bytes = 128 * 1024;
 constexpr auto service_unavailable = http::status::service_unavailable;
 
 /** The state and the steps of one `relay_call`. */
@@ -360,7 +362,7 @@
     tcp_stream& m_upstream;
     const relay_plan& m_plan;
     relay_result m_result;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{max_buffer_bytes};
     std::optional<response_parser> m_parser;
     std::vector<char> m_piece;
 };
--- a/tests/support/mesh_system.hpp
+++ b/tests/support/mesh_system.hpp
@@ -188,6 +188,13 @@
                        "  suspect_ms: 3000\n";
     }
 
+    /** Sets lines for the section `node` of the settings file of every node
+     * that starts from now on. */
+    void set_node_settings(std::string lines)
+    {
+        m_node_settings = std::move(lines);
+    }
+
     /** Gives each node a link of its own to the store. Call it before any node
      * starts. */
     void link_stores()
@@ -381,7 +388,8 @@
                  << "\n";
         const auto store = store_of(host).text();
         file << "  region: r\n  domain: " << host.domain
-             << "\n  stop_grace_s: 4\n";
+             << "\n  stop_grace_s: 4\n"
+             << m_node_settings;
         if (host.peer_link != nullptr)
             file << "  advertise_peer: " << host.peer_link->where().text()
                  << "\n";
@@ -397,6 +405,7 @@
 
     worker& m_worker;
     std::string m_more_settings;
+    std::string m_node_settings;
     std::string m_heartbeats = "  heartbeat_ms: 150\n  suspect_ms: 1000\n";
     store_standin& m_store;
     paced_link* m_store_link = nullptr; ///< kept for its fibers
