Names: memory_account for the budget of bodies

It will hold what connections take besides bodies. body_budget becomes memory_account, its bodies are holdings, body_kind is memory_use. No change of behaviour; unit-tests "*bod*" pass as before.

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -1,10 +1,10 @@
 /** @file Serves the pipelined calls of one HTTP/1.1 connection. */
 #pragma once
 
-#include "tillerhall/http/body_budget.hpp"
 #include "tillerhall/http/byte_backlog.hpp"
 #include "tillerhall/http/cancel_scope.hpp"
 #include "tillerhall/http/link_scheduler.hpp"
+#include "tillerhall/http/memory_account.hpp"
 #include "tillerhall/http/stream.hpp"
 #include "tillerhall/http/whole_message.hpp"
 #include "tillerhall/routing/call_route.hpp"
@@ -73,13 +73,13 @@
     std::function<whole_response()> goaway = nullptr;
     /** Memory for the bodies of requests until they are answered; may be
      * null. */
-    body_budget* bodies = nullptr;
-    body_kind request_kind = body_kind::client_request;
+    memory_account* memory = nullptr;
+    memory_use request_kind = memory_use::client_request;
     /** @return the time that a call has from its arrival; needed with
-     * `bodies`. */
+     * `memory`. */
     std::function<duration(const request_head&)> time_left = nullptr;
     /** Makes the response to a call whose body does not fit into memory and is
-     * not read; needed with `bodies`. */
+     * not read; needed with `memory`. */
     std::function<whole_response(const request_head&, duration retry_after)>
         refuse_body = nullptr;
     /** Calls of all sessions, from the read of the request until the answer
@@ -146,12 +146,12 @@
     struct pending_call
     {
         explicit pending_call(const session_host& host)
-            : body(host.bodies, host.request_kind)
+            : body(host.memory, host.request_kind)
         {
         }
 
         received_request request;
-        body_budget::body body; ///< of the request
+        memory_account::holding body; ///< of the request
         cancel_scope scope;
         whole_response response;
         bool done = false;
--- a/include/tillerhall/http/exchange.hpp
+++ b/include/tillerhall/http/exchange.hpp
@@ -40,14 +40,14 @@
     std::string goaway_field{};
     /** Memory for the response's body; may be null. A response that does not
      * fit is given up, with the end `unknown`. */
-    body_budget* bodies = nullptr;
+    memory_account* memory = nullptr;
 };
 
 struct exchange_result
 {
     exchange_end end = exchange_end::unknown;
     std::optional<whole_response> response;
-    body_memory memory{};  ///< of the response's body; null without a budget
+    held_memory memory{};  ///< of the response's body; null without a budget
     std::string detail;    ///< the reason, unless answered
     bool reusable = false; ///< the stream can carry another exchange
     unsigned skipped = 0;  ///< responses to other requests
--- a/include/tillerhall/http/body_budget.hpp
+++ b/include/tillerhall/http/memory_account.hpp
@@ -13,7 +13,7 @@
 {
 
 /** What a body belongs to. */
-enum class body_kind
+enum class memory_use
 {
     client_request, ///< of a client of this host
     peer_request,   ///< that another node forwards to the target of this host
@@ -35,31 +35,31 @@
  * length may take half of what is free, so that bodies without an end leave
  * room for others, however many there are. For fibers of one worker.
  */
-class body_budget
+class memory_account
 {
 public:
     /** A body up to this size is always granted. */
     static constexpr std::uint64_t small_bytes = 64 * 1024;
 
-    explicit body_budget(std::uint64_t bytes) noexcept
+    explicit memory_account(std::uint64_t bytes) noexcept
         : m_bytes(bytes)
     {
     }
 
     /** What one body has taken; returned when this object is destroyed. */
-    class body
+    class holding
     {
     public:
         /** @param from may be null: all is granted then */
-        explicit body(body_budget* from,
-                      body_kind kind = body_kind::response) noexcept
+        explicit holding(memory_account* from,
+                         memory_use kind = memory_use::response) noexcept
             : m_from(from)
             , m_kind(kind)
         {
         }
-        ~body() { release(); }
-        body(const body&) = delete;
-        body& operator=(const body&) = delete;
+        ~holding() { release(); }
+        holding(const holding&) = delete;
+        holding& operator=(const holding&) = delete;
 
         /** Takes @p bytes for a body of that length.
          * @return false if they are not free; nothing is taken then. */
@@ -84,14 +84,14 @@
         void release() noexcept;
 
     private:
-        friend class body_budget;
+        friend class memory_account;
 
         /** @param parts the body may take one of so many parts of what is
          * free */
         bool set(std::uint64_t bytes, std::uint64_t parts) noexcept;
 
-        body_budget* m_from;
-        body_kind m_kind;
+        memory_account* m_from;
+        memory_use m_kind;
         std::uint64_t m_bytes = 0;
         time_point m_taken_at{};
     };
@@ -104,14 +104,14 @@
 
     /** @return the time until @p bytes are likely to be free for a body of
      * @p kind, behind those that wait; `duration::max()` if they never are. */
-    duration expected_wait(body_kind kind, std::uint64_t bytes) const noexcept;
+    duration expected_wait(memory_use kind, std::uint64_t bytes) const noexcept;
 
 private:
     struct waiting_body
         : boost::intrusive::list_base_hook<
               boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
     {
-        waiting_body(body& from,
+        waiting_body(holding& from,
                      boost::asio::io_context& io,
                      std::uint64_t size)
             : owner(from)
@@ -119,7 +119,7 @@
             , wake(io)
         {
         }
-        body& owner;
+        holding& owner;
         std::uint64_t bytes;
         boost::asio::steady_timer wake;
         bool is_granted = false;
@@ -130,12 +130,12 @@
     static constexpr std::size_t kinds = 3;
 
     /** @return the sum of all bodies up to which one of @p bytes is granted. */
-    std::uint64_t mark_of(body_kind kind, std::uint64_t bytes) const noexcept;
-    waiting_list& waiting(body_kind kind) noexcept
+    std::uint64_t mark_of(memory_use kind, std::uint64_t bytes) const noexcept;
+    waiting_list& waiting(memory_use kind) noexcept
     {
         return m_waiting[static_cast<std::size_t>(kind)];
     }
-    const waiting_list& waiting(body_kind kind) const noexcept
+    const waiting_list& waiting(memory_use kind) const noexcept
     {
         return m_waiting[static_cast<std::size_t>(kind)];
     }
--- a/include/tillerhall/http/whole_message.hpp
+++ b/include/tillerhall/http/whole_message.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "tillerhall/core/time.hpp"
-#include "tillerhall/http/body_budget.hpp"
 #include "tillerhall/http/fields.hpp"
+#include "tillerhall/http/memory_account.hpp"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/span_body.hpp>
@@ -39,8 +39,8 @@
         response.prepare_payload();
 }
 
-/** Memory of a body in a `body_budget`. */
-using body_memory = std::shared_ptr<body_budget::body>;
+/** Memory of a body in a `memory_account`. */
+using held_memory = std::shared_ptr<memory_account::holding>;
 
 /** A request as it was received. */
 struct received_request
@@ -52,7 +52,7 @@
     time_point answer_due = time_point::max();
     /** Of the answer's body, which another one sent; set by the code that
      * answers, and kept until the answer is sent. */
-    body_memory answer_memory{};
+    held_memory answer_memory{};
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/proxy/call_entry.hpp
+++ b/include/tillerhall/proxy/call_entry.hpp
@@ -66,7 +66,7 @@
     whole_response refuse_body(const request_head& head, duration retry_after);
 
     /** Sets the memory for bodies of responses. */
-    void set_body_budget(body_budget& bodies) noexcept { m_bodies = &bodies; }
+    void set_memory(memory_account& account) noexcept { m_memory = &account; }
 
     /** Routes one call of a client and returns the response to it. */
     whole_response answer(received_request& request, cancel_scope& scope);
@@ -258,7 +258,7 @@
     constraint_memory m_constraints;
     recent_runs m_recent_good_calls;
     stream_pool m_pool;
-    body_budget* m_bodies = nullptr;
+    memory_account* m_memory = nullptr;
     share_sequence m_shares;
     objectives_in_use m_objectives;
     deadline_budgets m_deadline_budgets;
--- a/include/tillerhall/proxy/owner_answer.hpp
+++ b/include/tillerhall/proxy/owner_answer.hpp
@@ -117,7 +117,7 @@
 {
     call_outcome end = call_end::unknown;
     std::optional<whole_response> response; ///< the target's, if answered
-    body_memory memory{};                   ///< of its body
+    held_memory memory{};                   ///< of its body
     std::string reason;                     ///< set unless answered
     bool reached = false; ///< the target has, or may have, seen the call
     bool others_would_refuse = false; ///< for the same reason
--- a/include/tillerhall/proxy/target_owner.hpp
+++ b/include/tillerhall/proxy/target_owner.hpp
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "tillerhall/core/worker.hpp"
-#include "tillerhall/http/body_budget.hpp"
 #include "tillerhall/http/byte_backlog.hpp"
 #include "tillerhall/http/exchange.hpp"
 #include "tillerhall/http/link_scheduler.hpp"
+#include "tillerhall/http/memory_account.hpp"
 #include "tillerhall/http/stream_pool.hpp"
 #include "tillerhall/node/blackboard.hpp"
 #include "tillerhall/node/call_admission.hpp"
@@ -79,7 +79,7 @@
     }
 
     /** Sets the memory for bodies of responses. */
-    void set_body_budget(body_budget& bodies) noexcept { m_bodies = &bodies; }
+    void set_memory(memory_account& account) noexcept { m_memory = &account; }
 
     /** Sets the function that reads the loads which the target reports. */
     void set_load_reader(target_loads::reader read)
@@ -377,7 +377,7 @@
     answer_sizes m_answer_sizes;
     byte_backlog m_reserved_answers; ///< of the active runs
     const link_scheduler* m_link = nullptr;
-    body_budget* m_bodies = nullptr;
+    memory_account* m_memory = nullptr;
     transfer_slots m_transfer_slots{0};
     bool m_is_up = true;
     bool m_queue_stands = false; ///< as logged
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -275,7 +275,7 @@
                                  std::uint64_t bytes) const
 {
     // The memory of a large body is not kept longer than the call can use it.
-    return m_host.bodies == nullptr || m_host.bodies->is_minor(bytes)
+    return m_host.memory == nullptr || m_host.memory->is_minor(bytes)
                ? duration(body_timeout)
                : std::min<duration>(body_timeout, m_host.time_left(head));
 }
@@ -285,7 +285,7 @@
                                std::uint64_t bytes) const
 {
     into.body.release();
-    const auto wait = m_host.bodies->expected_wait(m_host.request_kind, bytes);
+    const auto wait = m_host.memory->expected_wait(m_host.request_kind, bytes);
     into.response =
         m_host.refuse_body(head, std::min<duration>(wait, body_timeout));
 }
@@ -294,8 +294,8 @@
                                 const request_head& head,
                                 std::uint64_t bytes)
 {
-    if (m_host.bodies == nullptr ||
-        (m_host.bodies->is_minor(bytes) && into.body.take(bytes)))
+    if (m_host.memory == nullptr ||
+        (m_host.memory->is_minor(bytes) && into.body.take(bytes)))
         return true;
     const auto left = std::min<duration>(body_timeout, m_host.time_left(head));
     const auto latest = into.request.received + left / body_wait_parts;
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,8 +1,8 @@
 #include "tillerhall/http/exchange.hpp"
 #include "tillerhall/core/await.hpp"
 #include "tillerhall/core/worker.hpp"
-#include "tillerhall/http/body_budget.hpp"
 #include "tillerhall/http/exchange_observer.hpp"
+#include "tillerhall/http/memory_account.hpp"
 
 #include <algorithm>
 #include <array>
@@ -125,7 +125,8 @@
         if (m_plan.observer != nullptr)
             m_plan.observer->response_began();
         response_parser parser(std::move(head));
-        m_result.memory = std::make_shared<body_budget::body>(m_plan.bodies);
+        m_result.memory =
+            std::make_shared<memory_account::holding>(m_plan.memory);
         auto& body = *m_result.memory;
         const auto length = parser.content_length();
         if (!length)
--- a/src/http/body_budget.cpp
+++ b/src/http/memory_account.cpp
@@ -1,4 +1,4 @@
-#include "tillerhall/http/body_budget.hpp"
+#include "tillerhall/http/memory_account.hpp"
 
 #include "tillerhall/core/await.hpp"
 
@@ -22,17 +22,17 @@
 
 } // namespace
 
-bool body_budget::body::take(std::uint64_t bytes) noexcept
+bool memory_account::holding::take(std::uint64_t bytes) noexcept
 {
     return set(bytes, 1);
 }
 
-bool body_budget::body::grow_to(std::uint64_t bytes) noexcept
+bool memory_account::holding::grow_to(std::uint64_t bytes) noexcept
 {
     return set(bytes, 2);
 }
 
-void body_budget::body::hold(std::uint64_t bytes) noexcept
+void memory_account::holding::hold(std::uint64_t bytes) noexcept
 {
     if (m_from == nullptr)
         return;
@@ -41,7 +41,8 @@
     m_taken_at = steady_clock::now();
 }
 
-bool body_budget::body::set(std::uint64_t bytes, std::uint64_t parts) noexcept
+bool memory_account::holding::set(std::uint64_t bytes,
+                                  std::uint64_t parts) noexcept
 {
     if (m_from == nullptr)
         return true;
@@ -54,9 +55,9 @@
     return true;
 }
 
-bool body_budget::body::wait_for(boost::asio::io_context& io,
-                                 std::uint64_t bytes,
-                                 time_point latest)
+bool memory_account::holding::wait_for(boost::asio::io_context& io,
+                                       std::uint64_t bytes,
+                                       time_point latest)
 {
     if (m_from == nullptr)
         return true;
@@ -79,27 +80,27 @@
     return false;
 }
 
-void body_budget::body::release() noexcept
+void memory_account::holding::release() noexcept
 {
     if (m_from == nullptr || m_bytes == 0)
         return;
     m_from->m_taken -= m_bytes;
-    if (m_kind != body_kind::response && !m_from->is_minor(m_bytes))
+    if (m_kind != memory_use::response && !m_from->is_minor(m_bytes))
         m_from->note_held(steady_clock::now() - m_taken_at);
     m_bytes = 0;
     m_from->grant_waiting();
 }
 
-std::uint64_t body_budget::mark_of(body_kind kind,
-                                   std::uint64_t bytes) const noexcept
+std::uint64_t memory_account::mark_of(memory_use kind,
+                                      std::uint64_t bytes) const noexcept
 {
     return is_minor(bytes)
                ? m_bytes
                : m_bytes / mark_parts * marks[static_cast<std::size_t>(kind)];
 }
 
-duration body_budget::expected_wait(body_kind kind,
-                                    std::uint64_t bytes) const noexcept
+duration memory_account::expected_wait(memory_use kind,
+                                       std::uint64_t bytes) const noexcept
 {
     const auto mark = mark_of(kind, bytes);
     if (bytes > std::max(mark, small_bytes))
@@ -114,22 +115,22 @@
         (static_cast<double>(wanted - mark) / static_cast<double>(mark)));
 }
 
-bool body_budget::is_minor(std::uint64_t bytes) const noexcept
+bool memory_account::is_minor(std::uint64_t bytes) const noexcept
 {
     return bytes <= std::max(m_bytes / minor_part, small_bytes);
 }
 
-void body_budget::note_held(duration span) noexcept
+void memory_account::note_held(duration span) noexcept
 {
     m_mean_hold += std::chrono::duration_cast<duration>((span - m_mean_hold) *
                                                         hold_weight);
 }
 
-void body_budget::grant_waiting()
+void memory_account::grant_waiting()
 {
     // Bodies of calls that others have begun come first.
-    for (const auto kind : {body_kind::response, body_kind::peer_request,
-                            body_kind::client_request})
+    for (const auto kind : {memory_use::response, memory_use::peer_request,
+                            memory_use::client_request})
     {
         auto& list = waiting(kind);
         while (!list.empty() && list.front().owner.take(list.front().bytes))
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -156,8 +156,8 @@
                                     { reporter->departure_told(start); });
         owner->set_load_reader(adapter.read_load);
         owner->set_link(outgoing, config.link_mbps);
-        owner->set_body_budget(bodies);
-        entry->set_body_budget(bodies);
+        owner->set_memory(memory);
+        entry->set_memory(memory);
         owner->limit_dependent_runs(config.limit_dependent_runs != 0);
         targets.require_confirmation(steady_clock::now());
         mesh->routes_changed = [this](const route_view&) { publish_members(); };
@@ -224,14 +224,14 @@
                      &owner->incoming(),
                      &outgoing,
                      goaway_response};
-        client_host.bodies = &bodies;
+        client_host.memory = &memory;
         client_host.time_left = [this](const request_head& head)
         { return entry->time_left(head); };
         client_host.refuse_body =
             [this](const request_head& head, duration retry_after)
         { return entry->refuse_body(head, retry_after); };
-        peer_host.bodies = &bodies;
-        peer_host.request_kind = body_kind::peer_request;
+        peer_host.memory = &memory;
+        peer_host.request_kind = memory_use::peer_request;
         peer_host.time_left = peer_time_left;
         peer_host.refuse_body =
             [this](const request_head& head, duration retry_after)
@@ -474,7 +474,7 @@
     worker main_worker;
     stop_signal stop_requests{main_worker.io()};
     link_scheduler outgoing{main_worker.io(), config.link_mbps};
-    body_budget bodies{body_memory_of(config)};
+    memory_account memory{body_memory_of(config)};
     blackboard board;
     target_board board_targets;
     target_registry targets;
--- a/src/proxy/call_entry_peers.cpp
+++ b/src/proxy/call_entry_peers.cpp
@@ -49,7 +49,7 @@
                            {.deadline = deadline,
                             .id_field = m_names.request_id,
                             .id = load_query_id,
-                            .bodies = m_bodies},
+                            .memory = m_memory},
                            scope);
     if (result.end != exchange_end::answered)
         return std::nullopt;
@@ -95,7 +95,7 @@
                             .id_field = m_names.request_id,
                             .id = state.call.request_id,
                             .goaway_field = hop_field::goaway,
-                            .bodies = m_bodies},
+                            .memory = m_memory},
                            scope);
     if (result.reusable)
         m_pool.give_back(owner.peer, std::move(*stream), idle_kept);
--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -178,7 +178,7 @@
     const auto sent = steady_clock::now();
     const exchange_plan plan{.deadline = sent + check_timeout,
                              .id_field = m_names.request_id,
-                             .bodies = m_bodies};
+                             .memory = m_memory};
     auto result = exchange(**stream, request, plan, scope);
     count_skipped(result.skipped, "health_check");
     if (result.reusable)
@@ -816,7 +816,7 @@
                             .id_field = m_names.request_id,
                             .id = call.request_id,
                             .observer = &*outstanding,
-                            .bodies = m_bodies},
+                            .memory = m_memory},
                            scope);
     if (outstanding->is_given_up() && result.end == exchange_end::unknown)
         result.detail = "the target left the call unanswered";
--- a/tests/integration/request_bodies.cpp
+++ b/tests/integration/request_bodies.cpp
@@ -126,7 +126,7 @@
         { return whole_response(static_cast<http::status>(fault.status), 11); };
         host.limits = [] { return client_limits{}; };
         host.is_stopping = [] { return false; };
-        host.bodies = &bodies;
+        host.memory = &bodies;
         host.time_left = [call_time](const request_head&) { return call_time; };
         host.refuse_body = [](const request_head&, duration)
         {
@@ -146,7 +146,7 @@
             sleep_for(on.io(), milliseconds(5));
     }
 
-    body_budget bodies{4 * body_bytes};
+    memory_account bodies{4 * body_bytes};
     session_host host;
     std::unique_ptr<listener> listening;
 };
@@ -218,7 +218,7 @@
         {
             constexpr auto size = small_host::body_bytes;
             small_host host(on, std::chrono::seconds(10));
-            body_budget::body others(&host.bodies);
+            memory_account::holding others(&host.bodies);
             others.hold(size);
             std::vector<std::string> answered;
             const auto upload = [&](const std::string& id, std::size_t bytes)
@@ -250,12 +250,12 @@
         [](worker& on)
         {
             constexpr auto size = small_host::body_bytes;
-            body_budget bodies(4 * size);
-            const auto kind = body_kind::client_request;
-            body_budget::body others(&bodies, kind);
+            memory_account bodies(4 * size);
+            const auto kind = memory_use::client_request;
+            memory_account::holding others(&bodies, kind);
             others.hold(size);
-            body_budget::body large(&bodies, kind);
-            body_budget::body next(&bodies, kind);
+            memory_account::holding large(&bodies, kind);
+            memory_account::holding next(&bodies, kind);
             const auto now = steady_clock::now();
             run_parallel(
                 {[&] {
@@ -277,7 +277,7 @@
         [](worker& on)
         {
             small_host host(on, std::chrono::seconds(4));
-            body_budget::body others(&host.bodies);
+            memory_account::holding others(&host.bodies);
             others.hold(2 * small_host::body_bytes);
             uploading_client client(on, host.listening->local());
             client.send(head_of("u", "/", small_host::body_bytes,
