The count of a listener's connections outlives the listener

No program of ours destroys a listener while it serves; the stand-ins of the tests do. The connections share the count now; the test passes under AddressSanitizer.

--- a/include/tillerhall/http/listener.hpp
+++ b/include/tillerhall/http/listener.hpp
@@ -49,7 +49,7 @@
      * given. */
     const address& local() const noexcept { return m_local; }
 
-    std::size_t open_connections() const noexcept { return m_open; }
+    std::size_t open_connections() const noexcept { return *m_open; }
     std::uint64_t refused_connections() const noexcept { return m_refused; }
 
 private:
@@ -71,7 +71,8 @@
         m_acceptor;
     address m_local;
     std::size_t m_limit;
-    std::size_t m_open = 0;
+    /** Number of open connections, which may outlive the listener. */
+    std::shared_ptr<std::size_t> m_open = std::make_shared<std::size_t>(0);
     std::uint64_t m_refused = 0;
     connection_handler m_handle;
 };
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -113,7 +113,7 @@
 
 void listener::accept(std::shared_ptr<tcp_stream> stream)
 {
-    if (m_open >= m_limit)
+    if (*m_open >= m_limit)
         ++m_refused;
     else
         m_handle(counted(std::move(stream)));
@@ -124,9 +124,9 @@
 {
     boost::system::error_code ignored;
     stream->socket().set_option(tcp::no_delay(true), ignored);
-    ++m_open;
+    ++*m_open;
     auto* const raw = stream.get();
-    return {raw, [this, stream](tcp_stream*) { --m_open; }};
+    return {raw, [open = m_open, stream](tcp_stream*) { --*open; }};
 }
 
 } // namespace tillerhall
