Stacks of fibers beyond a few go back to the system

What callers saw: a node stayed as large as the largest crowd of calls had made it. In a mix of clients that do not go on (the case "all of these" of integration-misbehaving_clients, which comes with the account of connections) a node of 64 MB had 73 MB although its account held 32.

Cause: Boost's pooled_fixedsize_stack never returns memory, and a stack keeps the pages that its fibers have touched.

Fix: up to 128 free stacks are kept; others are unmapped. With fewer fibers at once no system call is added.

--- a/src/core/worker.cpp
+++ b/src/core/worker.cpp
@@ -1,12 +1,12 @@
 #include "tillerhall/core/worker.hpp"
 #include "tillerhall/core/await.hpp"
 #include "tillerhall/core/fiber_scheduler.hpp"
+#include "tillerhall/core/fiber_stacks.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
-#include <boost/fiber/pooled_fixedsize_stack.hpp>
 
 namespace tillerhall
 {
@@ -18,7 +18,7 @@
 
 boost::fibers::fiber start_fiber(worker::task body)
 {
-    thread_local boost::fibers::pooled_fixedsize_stack stacks(stack_bytes);
+    thread_local fiber_stacks stacks(stack_bytes);
     return {boost::fibers::launch::post, std::allocator_arg, stacks,
             std::move(body)};
 }
