One account of what connections hold; clients that stop give way to others

What callers saw (integration-misbehaving_clients on, 64 MB a node): 900 bodies of 64 KiB that lack a byte took a node to 144 MB, 1,500 heads without their end to 80, 12 slow readers of 8 MiB to 66, a mix to 355; requests for an answer of 8 MiB failed beside three of these crowds.

Cause: the account knew bodies only and granted small ones always; connections, heads, read buffers and fibers were in none. Holders kept memory for their whole timeout, and a response without memory was given up.

Fix: memory_account also holds connections and their calls. Connections that wait for their clients stand in an order of their last progress (stall_order); before memory or a connection is refused, the most stalled ones are closed. Small bodies of clients have a bound in all. Responses wait for memory until the deadline of their call. The limit of clients' connections follows from the account. Bodies are read and responses are sent in steps, which count as progress.

The sessions of integration-request_bodies get memory for their connections besides that for two bodies, since connections count now; the checks are the same. The property of unit memory_account is unchanged.

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -71,9 +71,12 @@
     /** Makes the response that is sent to no request before an idle connection
      * is closed; may be null. */
     std::function<whole_response()> goaway = nullptr;
-    /** Memory for the bodies of requests until they are answered; may be
-     * null. */
+    /** Memory for connections, and for the bodies of requests until they are
+     * answered; may be null. */
     memory_account* memory = nullptr;
+    /** Whether connections that wait for their clients may be closed when
+     * memory or descriptors are short; needs `memory`. */
+    bool gives_way = false;
     memory_use request_kind = memory_use::client_request;
     /** @return the time that a call has from its arrival; needed with
      * `memory`. */
@@ -104,9 +107,15 @@
  * lives as long as any of its reads or calls.
  */
 class call_session final : public open_session,
+                           public closable_connection,
                            public std::enable_shared_from_this<call_session>
 {
 public:
+    /** Memory that is counted for an open connection, in bytes. */
+    static constexpr std::uint64_t idle_bytes = 4 * 1024;
+    /** Memory that is counted for a call besides its body, in bytes: the used
+     * part of a fiber's stack, the fields, and the states of the proxy. */
+    static constexpr std::uint64_t call_bytes = 24 * 1024;
     /** Concurrent calls of one connection; further requests stay unread. */
     static constexpr std::size_t max_pending = 64;
 
@@ -116,6 +125,7 @@
 
     void close_idle() override;
     bool is_delivering() override;
+    bool give_way() override;
 
 private:
     using request_parser =
@@ -181,6 +191,19 @@
     void on_read(const boost::system::error_code& failed, std::size_t size);
     void read_calls();
     bool read_call();
+    /** @return whether another call may be read. */
+    bool has_room_for_call();
+    /**
+     * Counts the memory of the connection and its calls, apart from bodies.
+     * @param buffer_bytes size to which the read buffer may grow
+     * @param new_calls calls that are about to begin
+     * @return false if there is not enough
+     */
+    bool hold_memory(std::uint64_t buffer_bytes = 0, std::size_t new_calls = 0);
+    /** Puts the connection into the order that its state belongs to. */
+    void update_stall_order();
+    /** Notes that the client has moved @p bytes of a request or response. */
+    void note_progress(std::size_t bytes);
     read_outcome read_request(pending_call& into, request_fault& fault);
     read_outcome read_head(request_parser& parser,
                            const client_limits& limits,
@@ -211,6 +234,7 @@
     void write_ready();
     void write_next();
     bool write_one(pending_call& call);
+    bool send(whole_response& response);
     void close_and_cancel();
     void send_goaway();
     void linger();
@@ -223,12 +247,17 @@
     session_host& m_host;
     boost::beast::flat_buffer m_buffer;
     time_point m_arrived{}; ///< earliest arrival of the bytes in the buffer
+    memory_account::holding m_memory; ///< of the connection
     std::deque<pending_ptr> m_pending;
+    pending_call* m_received = nullptr; ///< the call that is being read
+    std::size_t m_moved = 0;            ///< bytes since the last progress
     std::unique_ptr<boost::asio::steady_timer> m_linger_end;
     std::optional<scoped_count> m_lingering;
     bool m_reading = false;    ///< reading, or handling what was read
     bool m_input_done = false; ///< no further request will be read
     bool m_writing = false;
+    bool m_sending = false;       ///< the client receives a response
+    bool m_awaits_memory = false; ///< for the body that is read next
     bool m_closing =
         false; ///< the last answer is written or the stream is closed
 };
--- a/include/tillerhall/http/listener.hpp
+++ b/include/tillerhall/http/listener.hpp
@@ -21,6 +21,9 @@
      * it. */
     using connection_handler = std::function<void(std::shared_ptr<tcp_stream>)>;
 
+    /** Closes another connection. @return false if none can be closed */
+    using make_room_fn = std::function<bool()>;
+
     /** Maximum of open connections; further ones are closed and counted. */
     static constexpr std::size_t default_limit = 4096;
 
@@ -39,6 +42,12 @@
      * fiber per connection, so that idle connections take no stack. */
     void start_accepting(connection_handler handle);
 
+    /** Sets what is called for a connection beyond the limit. */
+    void set_make_room(make_room_fn make_room)
+    {
+        m_make_room = std::move(make_room);
+    }
+
     /** Stops accepting; open connections stay open. */
     void close();
 
@@ -75,6 +84,7 @@
     std::shared_ptr<std::size_t> m_open = std::make_shared<std::size_t>(0);
     std::uint64_t m_refused = 0;
     connection_handler m_handle;
+    make_room_fn m_make_room;
 };
 
 } // namespace tillerhall
--- a/include/tillerhall/http/memory_account.hpp
+++ b/include/tillerhall/http/memory_account.hpp
@@ -1,7 +1,8 @@
-/** @file Bounds the memory of the bodies that a worker holds. */
+/** @file Bounds the memory that the connections of a worker hold. */
 #pragma once
 
 #include "tillerhall/core/time.hpp"
+#include "tillerhall/http/stall_order.hpp"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -12,58 +13,78 @@
 namespace tillerhall
 {
 
-/** What a body belongs to. */
+/** What memory is held for. */
 enum class memory_use
 {
-    client_request, ///< of a client of this host
-    peer_request,   ///< that another node forwards to the target of this host
-    response        ///< until it is sent
+    client_request, ///< body of a request of a client of this host
+    peer_request,   ///< body that another node forwards to this host's target
+    response,       ///< body of a response, until it is sent
+    connection      ///< a connection and its calls, apart from bodies
 };
 
 /**
- * Memory for the bodies that a worker holds at the same time: of requests until
- * they are answered, and of responses until they are sent.
+ * All memory that clients, other nodes and targets can make a worker hold: its
+ * connections with their read buffers and calls, bodies of requests until they
+ * are answered, and bodies of responses until they are sent.
  *
- * Each kind is granted memory only while the sum of all bodies stays below the
- * mark of the kind, which is lower for kinds that begin a call than for those
- * that finish one. Nodes that are full of their own clients' bodies therefore
- * still have room for those that they send to each other, and room for a
- * request never depends on room for another one further up. Bodies that are
- * small against the budget may use what the marks reserve for others.
+ * Each kind of body is granted memory only while the sum of all bodies stays
+ * below the mark of the kind, which is lower for kinds that begin a call than
+ * for those that finish one. Nodes that are full of their own clients' bodies
+ * therefore still have room for those that they send to each other, and room
+ * for a request never depends on room for another one further up. Bodies that
+ * are small against the account may use what the marks reserve for others;
+ * those of clients up to a quarter of the memory for bodies in all.
+ *
+ * Connections have a part of their own. What they hold beyond it is taken from
+ * the memory for bodies.
  *
  * A body of known length takes all of it before it is read. One of unknown
  * length may take half of what is free, so that bodies without an end leave
- * room for others, however many there are. For fibers of one worker.
+ * room for others, however many there are.
+ *
+ * Before a request for memory is refused, the connections whose clients have
+ * made no progress for the longest time are closed. For fibers of one worker.
  */
 class memory_account
 {
 public:
-    /** A body up to this size is always granted. */
+    /** A body up to this size is minor, however small the account is. */
     static constexpr std::uint64_t small_bytes = 64 * 1024;
-
-    explicit memory_account(std::uint64_t bytes) noexcept
-        : m_bytes(bytes)
+    /** A client that has made no progress for so long gives way to a body that
+     * cannot wait. For a connection and its calls there is no such time. */
+    static constexpr milliseconds min_stall{200};
+    /** The same for a body that can wait. */
+    static constexpr milliseconds min_stall_of_large{1'000};
+
+    /**
+     * @param body_bytes memory for bodies
+     * @param connection_bytes memory reserved for connections
+     */
+    explicit memory_account(std::uint64_t body_bytes,
+                            std::uint64_t connection_bytes = 0) noexcept
+        : m_bytes(body_bytes)
+        , m_connection_bytes(connection_bytes)
     {
     }
 
-    /** What one body has taken; returned when this object is destroyed. */
+    /** What one owner has taken; returned when this object is destroyed. */
     class holding
     {
     public:
         /** @param from may be null: all is granted then */
         explicit holding(memory_account* from,
-                         memory_use kind = memory_use::response) noexcept
+                         memory_use use = memory_use::response) noexcept
             : m_from(from)
-            , m_kind(kind)
+            , m_use(use)
         {
         }
         ~holding() { release(); }
         holding(const holding&) = delete;
         holding& operator=(const holding&) = delete;
 
-        /** Takes @p bytes for a body of that length.
-         * @return false if they are not free; nothing is taken then. */
-        bool take(std::uint64_t bytes) noexcept;
+        /** Takes @p bytes in all, closing stalled connections if need be.
+         * @return false if they are not free; nothing changes then. */
+        bool take(std::uint64_t bytes);
 
         /**
          * The same, but suspends the fiber until the bytes are free. Bodies
@@ -76,22 +97,27 @@
                       time_point latest);
 
         /** Takes @p bytes in all for a body of unknown length; see `take`. */
-        bool grow_to(std::uint64_t bytes) noexcept;
+        bool grow_to(std::uint64_t bytes);
 
-        /** Counts a body of @p bytes that is in memory already. */
+        /** Counts @p bytes that are in memory already. */
         void hold(std::uint64_t bytes) noexcept;
 
         void release() noexcept;
 
+        /** @return the account; may be null. */
+        memory_account* account() const noexcept { return m_from; }
+
     private:
         friend class memory_account;
 
-        /** @param parts the body may take one of so many parts of what is
+        /** @param parts the holding may be one of so many parts of what is
          * free */
         bool set(std::uint64_t bytes, std::uint64_t parts) noexcept;
+        /** Closes stalled connections until @p bytes are free and taken. */
+        bool make_room(std::uint64_t bytes, std::uint64_t parts);
 
         memory_account* m_from;
-        memory_use m_kind;
+        memory_use m_use;
         std::uint64_t m_bytes = 0;
         time_point m_taken_at{};
     };
@@ -99,21 +125,37 @@
     /** @return the bytes of all bodies. */
     std::uint64_t taken() const noexcept { return m_taken; }
 
-    /** @return whether a body of @p bytes is small against the budget. */
+    /** @return the bytes of all connections apart from bodies. */
+    std::uint64_t held_by_connections() const noexcept
+    {
+        return m_held_by_connections;
+    }
+
+    /** @return whether a body of @p bytes is small against the account. */
     bool is_minor(std::uint64_t bytes) const noexcept;
 
     /** @return the time until @p bytes are likely to be free for a body of
-     * @p kind, behind those that wait; `duration::max()` if they never are. */
-    duration expected_wait(memory_use kind, std::uint64_t bytes) const noexcept;
+     * @p use, behind those that wait; `duration::max()` if they never are. */
+    duration expected_wait(memory_use use, std::uint64_t bytes) const noexcept;
+
+    /** Connections whose clients have begun a request or receive a response. */
+    stall_order& begun() noexcept { return m_begun; }
+
+    /** Connections that wait for the next request. */
+    stall_order& idle() noexcept { return m_idle; }
+
+    /** Closes the connection whose client has made no progress for the longest
+     * time. @return false if none waits for its client */
+    bool close_one();
 
 private:
-    struct waiting_body
+    struct waiting_holding
         : boost::intrusive::list_base_hook<
               boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
     {
-        waiting_body(holding& from,
-                     boost::asio::io_context& io,
-                     std::uint64_t size)
+        waiting_holding(holding& from,
+                        boost::asio::io_context& io,
+                        std::uint64_t size)
             : owner(from)
             , bytes(size)
             , wake(io)
@@ -125,29 +167,44 @@
         bool is_granted = false;
     };
     using waiting_list =
-        boost::intrusive::list<waiting_body,
+        boost::intrusive::list<waiting_holding,
                                boost::intrusive::constant_time_size<false>>;
-    static constexpr std::size_t kinds = 3;
-
-    /** @return the sum of all bodies up to which one of @p bytes is granted. */
-    std::uint64_t mark_of(memory_use kind, std::uint64_t bytes) const noexcept;
-    waiting_list& waiting(memory_use kind) noexcept
+    static constexpr std::size_t body_uses = 3;
+
+    /** @return @p bytes if they are a minor body of a client's request, else
+     * 0. */
+    std::uint64_t minor_client_bytes(memory_use use,
+                                     std::uint64_t bytes) const noexcept;
+    /** @return the memory in use up to which @p bytes are granted for
+     * @p wanted. */
+    std::uint64_t mark_of(const holding& wanted,
+                          std::uint64_t bytes) const noexcept;
+    std::uint64_t mark_of(memory_use use, std::uint64_t bytes) const noexcept;
+    /** @return the memory that counts against the mark of @p use. */
+    std::uint64_t held_against(memory_use use) const noexcept;
+    duration min_stall_for(memory_use use, std::uint64_t bytes) const noexcept;
+    waiting_list& waiting(memory_use use) noexcept
     {
-        return m_waiting[static_cast<std::size_t>(kind)];
+        return m_waiting[static_cast<std::size_t>(use)];
     }
-    const waiting_list& waiting(memory_use kind) const noexcept
+    const waiting_list& waiting(memory_use use) const noexcept
     {
-        return m_waiting[static_cast<std::size_t>(kind)];
+        return m_waiting[static_cast<std::size_t>(use)];
     }
     void grant_waiting();
     void note_held(duration span) noexcept;
 
     std::uint64_t m_bytes;
+    std::uint64_t m_connection_bytes;
     std::uint64_t m_taken = 0;
+    std::uint64_t m_held_by_connections = 0;
+    std::uint64_t m_minor_client_bytes = 0;
+    stall_order m_begun;
+    stall_order m_idle;
     /** Moving average of the time for which bodies of requests that are not
      * minor are held. */
     duration m_mean_hold{};
-    std::array<waiting_list, kinds> m_waiting;
+    std::array<waiting_list, body_uses> m_waiting;
 };
 
 } // namespace tillerhall
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -39,6 +39,8 @@
 constexpr milliseconds busy_check_limit(20);
 // Typical size of a response head with packet headers, for the link scheduler.
 constexpr std::uint64_t head_bytes = 300;
+// A client that moves less makes no progress.
+constexpr std::size_t progress_bytes = 4 * 1024;
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 
 request_fault fault_for(const boost::system::error_code& failed)
@@ -78,6 +80,7 @@
     : m_worker(on)
     , m_stream(std::move(stream))
     , m_host(host)
+    , m_memory(host.memory, memory_use::connection)
 {
 }
 
@@ -88,6 +91,8 @@
     const std::shared_ptr<call_session> made(
         new call_session(on, std::move(stream), host));
     host.sessions.push_back(*made);
+    if (!made->hold_memory())
+        return;
     if (host.closes_idle)
         made->close_idle();
     else
@@ -136,9 +141,66 @@
     linger();
 }
 
+bool call_session::hold_memory(std::uint64_t buffer_bytes,
+                               std::size_t new_calls)
+{
+    if (m_closing)
+        return true;
+    const auto calls =
+        m_pending.size() + (m_received == nullptr ? 0 : 1) + new_calls;
+    const auto bytes =
+        idle_bytes + calls * call_bytes +
+        std::max<std::uint64_t>(buffer_bytes, m_buffer.capacity());
+    if (m_host.gives_way)
+        return m_memory.take(bytes);
+    m_memory.hold(bytes);
+    return true;
+}
+
+void call_session::update_stall_order()
+{
+    if (!m_host.gives_way)
+        return;
+    const bool is_begun = m_sending || m_received != nullptr || m_closing;
+    m_moved = 0;
+    if (!m_sending && (m_awaits_memory || !m_pending.empty()))
+        return stall_order_hook::unlink();
+    auto& order = is_begun ? m_host.memory->begun() : m_host.memory->idle();
+    order.progressed(*this, steady_clock::now());
+}
+
+void call_session::note_progress(std::size_t bytes)
+{
+    m_moved += bytes;
+    if (m_moved >= progress_bytes)
+        update_stall_order();
+}
+
+bool call_session::give_way()
+{
+    const bool is_idle = m_received == nullptr && !m_sending && !m_closing;
+    boost::system::error_code failed;
+    if (is_idle && m_stream->socket().available(failed) != 0)
+        return false;
+    stall_order_hook::unlink();
+    close_and_cancel();
+    // The fibers of the connection end when the worker runs them next.
+    m_memory.release();
+    if (m_received != nullptr)
+        m_received->body.release();
+    for (const auto& each : m_pending)
+    {
+        each->body.release();
+        if (each->request.answer_memory)
+            each->request.answer_memory->release();
+    }
+    return true;
+}
+
 void call_session::wait_for_bytes(std::size_t read_bytes)
 {
     m_reading = true;
+    update_stall_order();
     m_stream->expires_after(read_timeout(m_host.limits().idle_timeout));
     m_stream->async_read_some(
         m_buffer.prepare(read_bytes),
@@ -196,9 +258,15 @@
 {
     m_reading = true;
     bool more = true;
-    while (more && m_buffer.size() != 0 && m_pending.size() < max_pending)
+    bool has_room = true;
+    while (more && m_buffer.size() != 0 && (has_room = has_room_for_call()))
         more = read_call();
     m_reading = false;
+    if (!has_room && m_pending.empty())
+    {
+        close_and_cancel();
+        more = false;
+    }
     m_input_done = !more;
     if (m_input_done)
         m_buffer.clear(); // also the rest of an invalid request
@@ -207,17 +275,25 @@
         m_buffer.clear();
         m_buffer.shrink_to_fit();
     }
+    hold_memory();
     const bool is_lingering = m_linger_end && m_stream->socket().is_open();
-    // With the maximum of calls pending, write_ready resumes the reading.
-    if (is_lingering || (more && m_pending.size() < max_pending))
+    // Without room for another call, write_ready resumes the reading.
+    if (is_lingering || (more && has_room && m_pending.size() < max_pending))
         wait_for_bytes();
 }
 
+bool call_session::has_room_for_call()
+{
+    return m_pending.size() < max_pending && hold_memory(0, 1);
+}
+
 bool call_session::read_call()
 {
     auto call = std::make_shared<pending_call>(m_host);
     request_fault fault;
+    m_received = call.get();
     const auto outcome = read_request(*call, fault);
+    m_received = nullptr;
     if (m_closing)
         return false; // requests after the last answer are discarded
     if (outcome == read_outcome::closed)
@@ -226,6 +302,7 @@
         return false;
     }
     m_pending.push_back(call);
+    update_stall_order();
     call->unanswered.emplace(m_host.unanswered);
     if (outcome != read_outcome::call)
     {
@@ -251,8 +328,14 @@
         std::max(m_buffer.size(), limits.head_bytes + max_read_bytes));
     parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     parser.body_limit(limits.body_bytes);
-    const auto watch =
-        holds_head(m_buffer) ? nullptr : watch_request(limits.head_timeout);
+    std::unique_ptr<boost::asio::steady_timer> watch;
+    if (!holds_head(m_buffer))
+    {
+        if (!hold_memory(limits.head_bytes + first_read_bytes))
+            return read_outcome::closed;
+        update_stall_order();
+        watch = watch_request(limits.head_timeout);
+    }
     boost::system::error_code failed;
     http::async_read_header(*m_stream, m_buffer, parser, await{failed});
     if (!failed)
@@ -299,7 +382,11 @@
         return true;
     const auto left = std::min<duration>(body_timeout, m_host.time_left(head));
     const auto latest = into.request.received + left / body_wait_parts;
-    if (into.body.wait_for(m_worker.io(), bytes, latest))
+    m_awaits_memory = true;
+    update_stall_order();
+    const bool is_granted = into.body.wait_for(m_worker.io(), bytes, latest);
+    m_awaits_memory = false;
+    if (is_granted)
         return true;
     refuse_body(into, head, bytes);
     return false;
@@ -312,16 +399,21 @@
     const auto length = parser.content_length();
     // Otherwise each chunk takes a read of its own.
     parser.eager(true);
+    update_stall_order();
     while (!failed && !parser.is_done())
     {
         const auto& body = parser.get().body();
-        m_buffer.reserve(std::min<std::uint64_t>(length.value_or(body.size()),
-                                                 max_read_bytes));
-        if (length)
-            http::async_read(*m_stream, m_buffer, parser, await{failed});
-        else
-            http::async_read_some(*m_stream, m_buffer, parser, await{failed});
-        if (!length && !into.body.grow_to(body.capacity()))
+        const auto read_bytes = std::min<std::uint64_t>(
+            length.value_or(body.size()), max_read_bytes);
+        bool fits = hold_memory(read_bytes);
+        if (fits)
+        {
+            m_buffer.reserve(read_bytes);
+            note_progress(http::async_read_some(*m_stream, m_buffer, parser,
+                                                await{failed}));
+            fits = length || into.body.grow_to(body.capacity());
+        }
+        if (!fits)
         {
             refuse_body(into, parser.get().base(), body.capacity());
             return false;
@@ -441,6 +533,8 @@
     m_closing = m_closing || call->last;
     const bool written = !dropped && write_one(*call);
     m_pending.pop_front();
+    update_stall_order();
+    hold_memory();
     if (dropped)
         return;
     if (!written)
@@ -461,9 +555,20 @@
     if (m_host.outgoing != nullptr)
         m_host.outgoing->await_slot(call.response.body().size() + head_bytes,
                                     call.request.answer_due);
+    return send(call.response);
+}
+
+bool call_session::send(whole_response& response)
+{
+    m_sending = true;
+    update_stall_order();
     m_stream->expires_after(write_timeout);
     boost::system::error_code failed;
-    http::async_write(*m_stream, call.response, await{failed});
+    http::response_serializer<http::string_body> serializer(response);
+    while (!failed && !serializer.is_done())
+        note_progress(
+            http::async_write_some(*m_stream, serializer, await{failed}));
+    m_sending = false;
     return !failed;
 }
 
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -131,7 +131,10 @@
         const auto length = parser.content_length();
         if (!length)
             parser.body_limit(max_unframed_body_bytes);
-        else if (!parser.is_done() && !body.take(*length))
+        else if (!parser.is_done() &&
+                 !body.wait_for(m_stream.get_executor().context(),
+                                *length + read_bytes_of(*length),
+                                m_plan.deadline))
             return fail({}, does_not_fit);
         // Otherwise each chunk takes a read of its own.
         parser.eager(true);
@@ -149,13 +152,21 @@
         }
         if (failed)
             return fail(failed, not_whole);
+        if (length)
+            body.take(*length); // the buffer ends with the exchange
         accept(parser);
     }
 
+    /** @return the size of the reads of a body of @p bytes. */
+    static std::uint64_t read_bytes_of(std::uint64_t bytes)
+    {
+        return std::min<std::uint64_t>(bytes, max_read_bytes);
+    }
+
     /** Makes room in the buffer for up to @p bytes of a body. */
     void reserve_read(std::uint64_t bytes)
     {
-        m_buffer.reserve(std::min<std::uint64_t>(bytes, max_read_bytes));
+        m_buffer.reserve(read_bytes_of(bytes));
     }
 
     /** Reads and discards a response to another request. @return false if none
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -100,7 +100,9 @@
 void listener::accept_queued()
 {
     boost::system::error_code failed;
-    while (m_acceptor.is_open())
+    // At the limit one is accepted in each pass, since a connection can give
+    // way only once its input has been read.
+    while (m_acceptor.is_open() && *m_open < m_limit)
     {
         auto stream = std::make_shared<tcp_stream>(m_worker.io());
         m_acceptor.accept(stream->socket(), failed);
@@ -113,7 +115,7 @@
 
 void listener::accept(std::shared_ptr<tcp_stream> stream)
 {
-    if (*m_open >= m_limit)
+    if (*m_open >= m_limit && !(m_make_room && m_make_room()))
         ++m_refused;
     else
         m_handle(counted(std::move(stream)));
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -37,10 +37,17 @@
 constexpr std::size_t peer_body_bytes = 128 * 1024 * 1024;
 constexpr std::chrono::minutes peer_idle_timeout(5);
 constexpr milliseconds peer_head_timeout(10'000);
-// Part of the memory for bodies; the rest is for all else, and for a body that
-// grows, which is copied once more for a moment.
-constexpr std::uint64_t body_memory_parts = 3;
+constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
+// Part of the memory for connections and bodies. The rest is for all else, and
+// for a body that grows, which is copied once more for a moment.
+constexpr std::uint64_t account_parts = 3;
 constexpr std::uint64_t memory_parts = 4;
+// The least memory for all else.
+constexpr std::uint64_t min_other_bytes = 32 * bytes_per_mb;
+// Part of the account that is reserved for connections.
+constexpr std::uint64_t connection_parts = 8;
+// Part of the account that all clients' connections with a call each may take.
+constexpr std::uint64_t max_connection_parts = 2;
 
 entry_settings entry_settings_of(const settings& config)
 {
@@ -54,12 +61,29 @@
     return made;
 }
 
-/** @return the memory for bodies, in bytes. */
-std::uint64_t body_memory_of(const settings& config)
+/** @return the memory for connections and bodies, in bytes. */
+std::uint64_t account_bytes_of(const settings& config)
 {
-    constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
-    return static_cast<std::uint64_t>(config.memory_limit_mb) * bytes_per_mb /
-           memory_parts * body_memory_parts;
+    const auto limit =
+        static_cast<std::uint64_t>(config.memory_limit_mb) * bytes_per_mb;
+    return std::min(limit / memory_parts * account_parts,
+                    limit - min_other_bytes);
+}
+
+memory_account account_of(const settings& config)
+{
+    const auto bytes = account_bytes_of(config);
+    const auto connections = bytes / connection_parts;
+    return memory_account(bytes - connections, connections);
+}
+
+/** @return the most connections that clients may have. */
+std::size_t connection_limit_of(const settings& config)
+{
+    const auto of_memory =
+        account_bytes_of(config) / max_connection_parts /
+        (call_session::idle_bytes + call_session::call_bytes);
+    return std::min<std::uint64_t>(listener::default_limit, of_memory);
 }
 
 duration to_duration(double seconds)
@@ -96,7 +120,10 @@
                                   std::pair{&readiness, &config.ready}};
         for (const auto& [destination, bound_address] : bindings)
         {
-            auto opened = listener::open(main_worker, *bound_address);
+            const auto limit = destination == &callers
+                                   ? connection_limit_of(config)
+                                   : listener::default_limit;
+            auto opened = listener::open(main_worker, *bound_address, limit);
             if (!opened)
                 return opened.reason();
             *destination = std::move(*opened);
@@ -225,6 +252,7 @@
                      &outgoing,
                      goaway_response};
         client_host.memory = &memory;
+        client_host.gives_way = true;
         client_host.time_left = [this](const request_head& head)
         { return entry->time_left(head); };
         client_host.refuse_body =
@@ -240,6 +268,7 @@
 
     void start()
     {
+        callers->set_make_room([this] { return memory.close_one(); });
         callers->start_accepting(
             [this](std::shared_ptr<tcp_stream> stream) {
                 call_session::serve(main_worker, std::move(stream),
@@ -474,7 +503,7 @@
     worker main_worker;
     stop_signal stop_requests{main_worker.io()};
     link_scheduler outgoing{main_worker.io(), config.link_mbps};
-    memory_account memory{body_memory_of(config)};
+    memory_account memory = account_of(config);
     blackboard board;
     target_board board_targets;
     target_registry targets;
--- a/tests/integration/misbehaving_clients.cpp
+++ b/tests/integration/misbehaving_clients.cpp
@@ -10,6 +10,13 @@
 namespace
 {
 
+constexpr std::size_t kb = 1024;
+constexpr std::size_t mb = kb * kb;
+// Bodies up to this size do not wait for larger ones.
+constexpr std::size_t small_body_bytes = 64 * kb;
+constexpr std::size_t large_body_bytes = 6 * mb;
+constexpr std::size_t partial_head_bytes = 15'500;
+
 std::string head_of(std::string_view line, std::string_view fields)
 {
     static int last_id = 0;
@@ -36,6 +43,55 @@
         clients.send_without_end(chunked_head + "3;e=", "v");
 }
 
+/** Sends bodies of @p size that lack their last byte. */
+void send_partial_bodies(crowd& clients, int count, std::size_t size)
+{
+    const std::string body(size - 1, 'x');
+    for (int i = 0; i < count; ++i)
+    {
+        auto& stream = clients.open();
+        crowd::send(stream, head_of("POST /photos/x",
+                                    "Content-Length: " + std::to_string(size) +
+                                        "\r\n\r\n"));
+        crowd::send(stream, body);
+    }
+}
+
+void send_partial_small_bodies(crowd& clients, int count)
+{
+    send_partial_bodies(clients, count, small_body_bytes);
+}
+
+void send_partial_large_bodies(crowd& clients, int count)
+{
+    send_partial_bodies(clients, count, large_body_bytes);
+}
+
+void send_partial_heads(crowd& clients, int count)
+{
+    auto head = head_of("GET /fields/x", "X-Fill: ");
+    head.resize(partial_head_bytes, 'v');
+    for (int i = 0; i < count; ++i)
+        crowd::send(clients.open(), head);
+}
+
+void stay_idle(crowd& clients, int count)
+{
+    for (int i = 0; i < count; ++i)
+        clients.open();
+}
+
+/** Requests large answers, which are read slowly. */
+void request_large_answers(crowd& clients, int count)
+{
+    for (int i = 0; i < count; ++i)
+    {
+        auto& stream = clients.open(4 * kb);
+        crowd::send(stream, head_of("GET /exports/x", "\r\n"));
+        crowd::wait_for_answer(stream);
+    }
+}
+
 struct crowd_part
 {
     void (*join)(crowd&, int);
@@ -50,7 +106,21 @@
 
 const std::array kinds{
     crowd_kind{"trailers without end", {{&send_trailers, 4}}},
-    crowd_kind{"a chunk extension without end", {{&send_chunk_extension, 4}}}};
+    crowd_kind{"a chunk extension without end", {{&send_chunk_extension, 4}}},
+    crowd_kind{"small bodies that lack a byte",
+               {{&send_partial_small_bodies, 900}}},
+    crowd_kind{"large bodies that lack a byte",
+               {{&send_partial_large_bodies, 8}}},
+    crowd_kind{"heads without their end", {{&send_partial_heads, 1500}}},
+    crowd_kind{"large answers read slowly", {{&request_large_answers, 12}}},
+    crowd_kind{"all of these",
+               {{&send_trailers, 2},
+                {&send_chunk_extension, 2},
+                {&stay_idle, 300},
+                {&send_partial_heads, 400},
+                {&send_partial_small_bodies, 300},
+                {&send_partial_large_bodies, 4},
+                {&request_large_answers, 6}}}};
 
 /** Reads slowly from @p clients until the returned value is destroyed. */
 std::shared_ptr<void> keep_reading(worker& on,
--- a/tests/integration/request_bodies.cpp
+++ b/tests/integration/request_bodies.cpp
@@ -110,6 +110,7 @@
 struct small_host
 {
     static constexpr std::size_t body_bytes = mb;
+    static constexpr std::size_t connection_bytes = 2 * mb;
     static constexpr milliseconds work{300};
 
     small_host(worker& on, duration call_time)
@@ -146,7 +147,7 @@
             sleep_for(on.io(), milliseconds(5));
     }
 
-    memory_account bodies{4 * body_bytes};
+    memory_account bodies{4 * body_bytes, connection_bytes};
     session_host host;
     std::unique_ptr<listener> listening;
 };
