Clients' connections leave descriptors for others, and the oldest give way

Cause: the limit of connections was a constant above what the process may open. At the limit newcomers were closed while idle connections stayed.

Fix: clients may have three quarters of the descriptors (the new setting node.descriptor_limit, by default RLIMIT_NOFILE). A newcomer beyond the limit, or when the system has no descriptor left, takes the place of the connection without progress for the longest time.

--- a/include/tillerhall/http/listener.hpp
+++ b/include/tillerhall/http/listener.hpp
@@ -42,7 +42,8 @@
      * fiber per connection, so that idle connections take no stack. */
     void start_accepting(connection_handler handle);
 
-    /** Sets what is called for a connection beyond the limit. */
+    /** Sets what is called for a connection beyond the limit, and when the
+     * process has no more descriptors. */
     void set_make_room(make_room_fn make_room)
     {
         m_make_room = std::move(make_room);
--- a/include/tillerhall/node/settings.hpp
+++ b/include/tillerhall/node/settings.hpp
@@ -37,6 +37,8 @@
     double retry_window_s = 10;
     double link_mbps = 0;               ///< of this host's link; 0 if unknown
     std::int64_t memory_limit_mb = 256; ///< of this process
+    /** Descriptors that this process may open; 0: its RLIMIT_NOFILE. */
+    std::int64_t descriptor_limit = 0;
 
     std::string service;
     address target;
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -13,7 +13,7 @@
 using reuse_port =
     boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
-// Pause after a failed accept, most likely for lack of file descriptors.
+// Pause after a failed accept.
 constexpr milliseconds accept_retry_delay(50);
 
 } // namespace
@@ -89,9 +89,12 @@
         m_acceptor.async_accept(stream->socket(), await{failed});
         if (failed == boost::asio::error::operation_aborted)
             return;
-        if (failed)
+        const bool has_made_room =
+            failed == boost::asio::error::no_descriptors && m_make_room &&
+            m_make_room();
+        if (failed && !has_made_room)
             sleep_for(m_worker.io(), accept_retry_delay);
-        else
+        else if (!failed)
             accept(std::move(stream));
         accept_queued();
     }
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -21,6 +21,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
 #include <csignal>
+#include <sys/resource.h>
 
 namespace tillerhall
 {
@@ -48,6 +49,10 @@
 constexpr std::uint64_t connection_parts = 8;
 // Part of the account that all clients' connections with a call each may take.
 constexpr std::uint64_t max_connection_parts = 2;
+// Part of the descriptors for clients' connections. The rest is for other
+// nodes, the target, the store and files.
+constexpr std::uint64_t client_descriptor_parts = 3;
+constexpr std::uint64_t descriptor_parts = 4;
 
 entry_settings entry_settings_of(const settings& config)
 {
@@ -80,10 +85,15 @@
 /** @return the most connections that clients may have. */
 std::size_t connection_limit_of(const settings& config)
 {
+    auto descriptors = static_cast<std::uint64_t>(config.descriptor_limit);
+    rlimit files{};
+    if (descriptors == 0 && ::getrlimit(RLIMIT_NOFILE, &files) == 0)
+        descriptors = files.rlim_cur;
     const auto of_memory =
         account_bytes_of(config) / max_connection_parts /
         (call_session::idle_bytes + call_session::call_bytes);
-    return std::min<std::uint64_t>(listener::default_limit, of_memory);
+    return std::min({std::uint64_t{listener::default_limit}, of_memory,
+                     descriptors / descriptor_parts * client_descriptor_parts});
 }
 
 duration to_duration(double seconds)
--- a/src/node/setting_table.cpp
+++ b/src/node/setting_table.cpp
@@ -46,8 +46,14 @@
         "links of a failure domain read the store for the others"},
     setting{"node.memory_limit_mb", &settings::memory_limit_mb, optional, 64,
             1'000'000,
-            "memory in MB that the process may use; bounds the bodies that it "
-            "holds; only for nodes that follow routes in a feed"},
+            "memory in MB that the process may use; bounds the connections and "
+            "bodies that it holds; only for nodes that follow routes in a "
+            "feed"},
+    setting{"node.descriptor_limit", &settings::descriptor_limit, optional, 0,
+            1'000'000,
+            "descriptors that the process may open, three quarters of them for "
+            "clients; 0: its limit of open files; only for nodes that follow "
+            "routes in a feed"},
     setting{"retry.ratio", &settings::retry_ratio, optional, 0, 10,
             "retries allowed per call, for all nodes together"},
     setting{"retry.extra", &settings::retry_extra, optional, 0, 1'000'000,
