A large upload on an idle link waits for others only, not for itself

What callers saw: an upload of 48 MiB at a node that is not its target's own was refused with links_full each time, on idle links of 1,000 Mbit/s (the case "a single upload inside the limits is served in calm" on: 503 at two of four nodes); the Retry-After came true never.

Cause: the wait behind others and the body's own transfer were compared with a fifth of the objective together, so that a body that takes longer by itself was late on any link and refused on all.

Fix: link_time keeps the two apart; for such a body only the wait for others counts. Nothing changes for shorter ones.

--- a/include/tillerhall/routing/target_board.hpp
+++ b/include/tillerhall/routing/target_board.hpp
@@ -7,6 +7,7 @@
 #include "tillerhall/core/address.hpp"
 #include "tillerhall/core/time.hpp"
 #include "tillerhall/routing/answer_sizes.hpp"
+#include "tillerhall/routing/link_time.hpp"
 #include "tillerhall/routing/load_inquiry.hpp"
 #include "tillerhall/routing/policy.hpp"
 #include "tillerhall/routing/retry_budget.hpp"
@@ -147,11 +148,9 @@
                        duration round_trip,
                        time_point now);
 
-    /**
-     * @return the time of a call on the link of @p to: the wait according to
-     * a recent load report, and its own bytes; zero if unknown.
-     */
-    duration
+    /** @return the time of a call on the link of @p to, the wait according to a
+     * recent load report; zero if unknown. */
+    link_time
     time_on_link(const member& to, const call_origin& from, time_point now);
 
     /** @return what is known of @p owner for a call @p from. */
@@ -235,11 +234,11 @@
                                  const record& known,
                                  double bytes,
                                  time_point now);
-    /** @return milliseconds, see `time_on_link`. */
-    static double link_ms(const call_origin& from,
-                          const member& to,
-                          const record& known,
-                          time_point now);
+    /** See `time_on_link`. */
+    static link_time link_time_of(const call_origin& from,
+                                  const member& to,
+                                  const record& known,
+                                  time_point now);
 
     const choice_policy& m_policy;
     std::mutex m_mutex;
--- a/src/proxy/owner_choice.cpp
+++ b/src/proxy/owner_choice.cpp
@@ -36,9 +36,6 @@
 // rarely returns within this time.
 constexpr milliseconds unresponsive_pause(1'000);
 
-// A body whose transfer takes more than this fraction of its objective is
-// mostly late, and delays the calls behind it on that link.
-constexpr int transfer_time_divisor = 5;
 // How long a body waits for a transfer slot, as a fraction of the objective. A
 // slot becomes free within that, each 70 ms at a link of 7 Mbit/s with bodies
 // of 60 KB; a refused client would retry.
@@ -112,10 +109,11 @@
     if (answered.empty())
         return {nullptr, large_first_wait};
     const auto owner = best(answered);
-    const auto transfer_time =
+    const auto on_link =
         m_targets.time_on_link(*owner, from, steady_clock::now());
-    if (transfer_time > work.objective / transfer_time_divisor)
-        return {nullptr, transfer_time};
+    if (const auto wait = on_link.excess_wait(work.objective);
+        wait > duration::zero())
+        return {nullptr, wait};
     return claim_transfer_slot(answered, from);
 }
 
--- a/src/routing/target_board.cpp
+++ b/src/routing/target_board.cpp
@@ -164,21 +164,22 @@
                : 1;
 }
 
-double target_board::link_ms(const call_origin& from,
-                             const member& to,
-                             const record& known,
-                             time_point now)
+link_time target_board::link_time_of(const call_origin& from,
+                                     const member& to,
+                                     const record& known,
+                                     time_point now)
 {
     const bool is_here = from.node != nullptr && *from.node == to.rpc;
     if (is_here || to.link_mbps == 0)
-        return 0;
+        return {};
     constexpr double bits = 8;
     constexpr double bits_per_ms_and_mbps = 1000;
+    const double ms_per_byte = bits / (bits_per_ms_and_mbps * to.link_mbps);
     const bool asked = now < known.asked + link_report_valid;
     const double ahead = asked ? known.incoming_bytes : 0;
     const double waits = asked ? known.round_trip_ms : 0;
-    const double bytes = ahead + static_cast<double>(from.bytes);
-    return waits + bytes * bits / (bits_per_ms_and_mbps * to.link_mbps);
+    return {waits + ahead * ms_per_byte,
+            static_cast<double>(from.bytes) * ms_per_byte};
 }
 
 double target_board::answer_link_ms(const member& to,
@@ -196,13 +197,12 @@
     return std::max(0.0, left) + own;
 }
 
-duration target_board::time_on_link(const member& to,
-                                    const call_origin& from,
-                                    time_point now)
+link_time target_board::time_on_link(const member& to,
+                                     const call_origin& from,
+                                     time_point now)
 {
     const std::lock_guard lock(m_mutex);
-    return milliseconds(static_cast<std::int64_t>(
-        link_ms(from, to, record_of(to.rpc, now), now)));
+    return link_time_of(from, to, record_of(to.rpc, now), now);
 }
 
 std::optional<chosen_target>
@@ -286,7 +286,7 @@
             stats.back().run_ms = run->second * slowness_of(known, now);
         stats.back().distance_ms =
             distance_ms(from, answer, each->place) +
-            link_weight * link_ms(from, *each, known, now) +
+            link_weight * link_time_of(from, *each, known, now).total_ms() +
             answer_link_ms(*each, known, answer, now);
     }
     std::vector<std::size_t> usable;
--- a/tests/integration/misbehaving_clients.cpp
+++ b/tests/integration/misbehaving_clients.cpp
@@ -157,3 +157,22 @@
             system.check_serves();
         });
 }
+
+TEST_CASE("a single upload inside the limits is served in calm")
+{
+    // Guards against uploads that no link has time for, however idle it is.
+    constexpr int ample_memory_mb = 256;
+    const auto size = GENERATE(16 * mb, 48 * mb);
+    CAPTURE(size);
+    on_worker(
+        [&](worker& on)
+        {
+            crowded_system system(on, ample_memory_mb);
+            for (auto& each : system.hosts())
+                CHECK(system
+                          .call(each, "upload", "/photos/x",
+                                std::string(size, 'x'),
+                                crowded_system::route_timeout_ms)
+                          .status == 200);
+        });
+}
