A connection whose request has been read does not give way as an idle one

What callers would see: a request that a node had read was dropped with its connection, when another client's connection came at the limit in that moment and this one had been idle for longer than the others. Found by reading.

Cause: the place in the order of idle connections was left when the request was parsed, not when its bytes were read.

Fix: bytes in the read buffer make a request begun. The new case of integration-call_session failed before (no answer; the other connection stayed) and passes now.

--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -161,7 +161,8 @@
 {
     if (!m_host.gives_way)
         return;
-    const bool is_begun = m_sending || m_received != nullptr || m_closing;
+    const bool is_begun =
+        m_sending || m_received != nullptr || m_closing || m_buffer.size() != 0;
     m_moved = 0;
     if (!m_sending && (m_awaits_memory || !m_pending.empty()))
         return stall_order_hook::unlink();
@@ -178,7 +179,8 @@
 
 bool call_session::give_way()
 {
-    const bool is_idle = m_received == nullptr && !m_sending && !m_closing;
+    const bool is_idle = m_received == nullptr && !m_sending && !m_closing &&
+                         m_buffer.size() == 0;
     boost::system::error_code failed;
     if (is_idle && m_stream->socket().available(failed) != 0)
         return false;
@@ -243,6 +245,7 @@
     }
     m_arrived = m_worker.earliest_arrival();
     m_buffer.commit(size);
+    update_stall_order();
     if (!m_closing) // m_reading stays set until the fiber has handled the bytes
         return m_worker.spawn([self = shared_from_this()]
                               { self->read_calls(); });
--- a/tests/integration/call_session.cpp
+++ b/tests/integration/call_session.cpp
@@ -176,3 +176,64 @@
             return 0;
         });
 }
+
+TEST_CASE("a connection whose request has been read does not give way as idle")
+{
+    // Guards against a request that is read and dropped because its connection
+    // was idle for long before.
+    run_main_fiber(
+        [&](worker& on)
+        {
+            memory_account account(1024 * 1024, 1024 * 1024);
+            bool is_short = false;
+            session_host host;
+            host.memory = &account;
+            host.gives_way = true;
+            host.time_left = [](const request_head&)
+            { return std::chrono::seconds(1); };
+            host.answer = [](received_request&, cancel_scope&)
+            {
+                whole_response answer(boost::beast::http::status::ok, 11);
+                answer.prepare_payload();
+                return answer;
+            };
+            host.limits = [&]
+            {
+                if (std::exchange(is_short, false))
+                    CHECK(account.close_one());
+                return client_limits{};
+            };
+            host.is_stopping = [] { return false; };
+            auto server = listener::open(on, {"127.0.0.1", 0});
+            REQUIRE(server);
+            (*server)->start_accepting(
+                [&](std::shared_ptr<tcp_stream> stream)
+                { call_session::serve(on, std::move(stream), host); });
+            const auto connect = [&]
+            {
+                auto made = connect_stream(on.io(), (*server)->local(),
+                                           std::chrono::seconds(5));
+                REQUIRE(made);
+                sleep_for(on.io(), milliseconds(20)); // accepted
+                return std::move(*made);
+            };
+            const auto oldest = connect();
+            const auto other = connect();
+            is_short = true; // when the request has been read
+            boost::system::error_code failed;
+            boost::asio::async_write(*oldest,
+                                     boost::asio::buffer(std::string_view(
+                                         "GET /a HTTP/1.1\r\nHost: a\r\n\r\n")),
+                                     await{failed});
+            std::string answer(64, ' ');
+            oldest->expires_after(std::chrono::seconds(5));
+            oldest->async_read_some(boost::asio::buffer(answer), await{failed});
+            CHECK(answer.starts_with("HTTP/1.1 200"));
+            CHECK(peer_has_closed(*other));
+            oldest->socket().close();
+            other->socket().close();
+            while (!host.sessions.empty()) // they use the host
+                sleep_for(on.io(), milliseconds(5));
+            return 0;
+        });
+}
