The account leaves three eighths of a node's memory to the rest

What callers would see: a node of 260 MB that is filled by clients could still exceed its memory.

Cause: the account was three quarters of the limit, as the account of bodies had been; that left 65 MB for a process that needs 66, and for what the allocator does not give back.

Fix: five eighths.

--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -41,8 +41,8 @@
 constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
 // Part of the memory for connections and bodies. The rest is for all else, and
 // for a body that grows, which is copied once more for a moment.
-constexpr std::uint64_t account_parts = 3;
-constexpr std::uint64_t memory_parts = 4;
+constexpr std::uint64_t account_parts = 5;
+constexpr std::uint64_t memory_parts = 8;
 // The least memory for all else.
 constexpr std::uint64_t min_other_bytes = 32 * bytes_per_mb;
 // Part of the account that is reserved for connections.
