At the least memory the account leaves 40 MB to the rest

Cause: a node takes 25 MB by itself, and what closed connections held is counted as free before their fibers have ended; 32 MB left 7 MB for that.

Nodes of more than 107 MB have the account that they had.

--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -44,7 +44,7 @@
 constexpr std::uint64_t account_parts = 5;
 constexpr std::uint64_t memory_parts = 8;
 // The least memory for all else.
-constexpr std::uint64_t min_other_bytes = 32 * bytes_per_mb;
+constexpr std::uint64_t min_other_bytes = 40 * bytes_per_mb;
 // Part of the account that is reserved for connections.
 constexpr std::uint64_t connection_parts = 8;
 // Part of the account that all clients' connections with a call each may take.
