--- a/tests/integration/call_session.cpp
+++ b/tests/integration/call_session.cpp
@@ -13,6 +13,22 @@
 
 using namespace tillerhall;
 
+namespace
+{
+
+/** Starts a listener whose connections @p host serves. */
+std::unique_ptr<listener> serve(worker& on, session_host& host)
+{
+    auto opened = listener::open(on, {"127.0.0.1", 0});
+    REQUIRE(opened);
+    (*opened)->start_accepting(
+        [&](std::shared_ptr<tcp_stream> stream)
+        { call_session::serve(on, std::move(stream), host); });
+    return std::move(*opened);
+}
+
+} // namespace
+
 TEST_CASE("a call counts as unanswered until its answer is sent completely")
 {
     // More than the send and receive buffers of the sockets hold.
@@ -30,12 +46,8 @@
             };
             host.limits = [] { return client_limits{}; };
             host.is_stopping = [] { return false; };
-            auto server = listener::open(on, {"127.0.0.1", 0});
-            REQUIRE(server);
-            (*server)->start_accepting(
-                [&](std::shared_ptr<tcp_stream> stream)
-                { call_session::serve(on, std::move(stream), host); });
-            auto client = connect_stream(on.io(), (*server)->local(),
+            const auto server = serve(on, host);
+            auto client = connect_stream(on.io(), server->local(),
                                          std::chrono::seconds(5), "127.0.0.1");
             REQUIRE(client);
             boost::system::error_code failed;
@@ -88,12 +100,8 @@
                 return limits;
             };
             host.is_stopping = [] { return false; };
-            auto server = listener::open(on, {"127.0.0.1", 0});
-            REQUIRE(server);
-            (*server)->start_accepting(
-                [&](std::shared_ptr<tcp_stream> stream)
-                { call_session::serve(on, std::move(stream), host); });
-            auto client = connect_stream(on.io(), (*server)->local(),
+            const auto server = serve(on, host);
+            auto client = connect_stream(on.io(), server->local(),
                                          std::chrono::seconds(5), "127.0.0.1");
             REQUIRE(client);
             boost::system::error_code failed;
@@ -137,16 +145,12 @@
                 return limits;
             };
             host.is_stopping = [] { return false; };
-            auto server = listener::open(on, {"127.0.0.1", 0});
-            REQUIRE(server);
-            (*server)->start_accepting(
-                [&](std::shared_ptr<tcp_stream> stream)
-                { call_session::serve(on, std::move(stream), host); });
+            const auto server = serve(on, host);
             // Most of the answer stays in the server's socket.
             tcp_stream client(on.io());
             const boost::asio::ip::tcp::endpoint to(
                 boost::asio::ip::make_address("127.0.0.1"),
-                (*server)->local().port);
+                server->local().port);
             client.socket().open(to.protocol());
             client.socket().set_option(
                 boost::asio::socket_base::receive_buffer_size(4 * 1024));
@@ -204,14 +208,10 @@
                 return client_limits{};
             };
             host.is_stopping = [] { return false; };
-            auto server = listener::open(on, {"127.0.0.1", 0});
-            REQUIRE(server);
-            (*server)->start_accepting(
-                [&](std::shared_ptr<tcp_stream> stream)
-                { call_session::serve(on, std::move(stream), host); });
+            const auto server = serve(on, host);
             const auto connect = [&]
             {
-                auto made = connect_stream(on.io(), (*server)->local(),
+                auto made = connect_stream(on.io(), server->local(),
                                            std::chrono::seconds(5));
                 REQUIRE(made);
                 sleep_for(on.io(), milliseconds(20)); // accepted
