The crowds also leave room for a large upload and descriptors

The crowd tests asked for small requests and a large answer afterwards. They now also ask for an upload of 6 MiB at the node with the crowd, and bound its descriptors.

--- a/tests/integration/idle_connections.cpp
+++ b/tests/integration/idle_connections.cpp
@@ -3,7 +3,6 @@
  * Guards against nodes that answer nobody else then. */
 #include "client_crowd.hpp"
 
-#include <filesystem>
 #include <sys/resource.h>
 
 using namespace tillerhall;
@@ -36,13 +35,6 @@
     rlimit m_previous{};
 };
 
-std::size_t open_descriptors(int pid)
-{
-    const std::filesystem::directory_iterator all("/proc/" +
-                                                  std::to_string(pid) + "/fd");
-    return static_cast<std::size_t>(std::distance(begin(all), end(all)));
-}
-
 } // namespace
 
 TEST_CASE("idle connections leave descriptors for others")
--- a/tests/integration/misbehaving_clients.cpp
+++ b/tests/integration/misbehaving_clients.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t small_body_bytes = 64 * kb;
 constexpr std::size_t large_body_bytes = 6 * mb;
 constexpr std::size_t partial_head_bytes = 15'500;
+// Of a node with the least memory, whose account allows fewer connections.
+constexpr std::size_t max_descriptors = 1024;
 
 std::string head_of(std::string_view line, std::string_view fields)
 {
@@ -154,6 +156,7 @@
             const auto reading = keep_reading(on, clients);
             for (const auto& part : kind.parts)
                 part.join(*clients, part.count);
+            system.check_serves_upload(system.hosts()[0], max_descriptors);
             system.check_serves();
         });
 }
--- a/tests/support/client_crowd.hpp
+++ b/tests/support/client_crowd.hpp
@@ -4,6 +4,7 @@
 #include "mesh_system.hpp"
 
 #include <array>
+#include <filesystem>
 
 namespace tillerhall::harness
 {
@@ -13,6 +14,13 @@
 /** Size of the large answers of a `crowded_system`. */
 inline constexpr std::size_t answer_bytes = 8 * 1024 * 1024;
 
+inline std::size_t open_descriptors(int pid)
+{
+    const std::filesystem::directory_iterator all("/proc/" +
+                                                  std::to_string(pid) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
 /** Connections that stay open, with what they have sent. */
 class crowd
 {
@@ -99,6 +107,7 @@
 {
     static constexpr int route_timeout_ms = 30'000;
     static constexpr std::size_t ordinary_body_bytes = 60'000;
+    static constexpr std::size_t upload_bytes = 6 * 1024 * 1024;
     static constexpr const char* client_limits_json =
         R"({"maxHeaderBytes":16384,"maxBodyBytes":67108864,)"
         R"("headerTimeout":30000,"idleTimeout":60000})";
@@ -124,6 +133,16 @@
                     [&] { return call(from, "w", path).status == 200; }));
     }
 
+    /** Checks that the node of @p host has fewer than @p limit descriptors, and
+     * that a large upload is answered there. */
+    void check_serves_upload(mesh_host& host, std::size_t limit)
+    {
+        CHECK(open_descriptors(host.node.pid()) < limit);
+        CHECK(call(host, "large-post", "/photos/x",
+                   std::string(upload_bytes, 'x'), route_timeout_ms)
+                  .status == 200);
+    }
+
     /** Checks that no node has exceeded its memory, and that ordinary requests
      * are answered at each. */
     void check_serves()
