Connections that give way are counted and logged

What operators saw: nothing. A node that closed clients' connections for lack of memory or descriptors had no metric and no log line for it; a user who asks why a connection was closed could not be answered.

Cause: memory_account closed them without telling anybody.

Fix: memory_account runs an action for each connection that it closes.

integration-idle_connections reads both from the node; it failed before, and passes now.

--- a/include/tillerhall/http/memory_account.hpp
+++ b/include/tillerhall/http/memory_account.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
+#include <functional>
 
 namespace tillerhall
 {
@@ -148,6 +149,13 @@
      * time. @return false if none waits for its client */
     bool close_one();
 
+    /** Sets an action to run after each connection that is closed to make
+     * room. */
+    void on_close(std::function<void()> action)
+    {
+        m_on_close = std::move(action);
+    }
+
 private:
     struct waiting_holding
         : boost::intrusive::list_base_hook<
@@ -171,6 +179,10 @@
                                boost::intrusive::constant_time_size<false>>;
     static constexpr std::size_t body_uses = 3;
 
+    /** Closes the most stalled connection of @p order.
+     * @return false if none has been without progress for @p least */
+    bool close_first(stall_order& order, time_point now, duration least);
+
     /** @return @p bytes if they are a minor body of a client's request, else
      * 0. */
     std::uint64_t minor_client_bytes(memory_use use,
@@ -205,6 +217,7 @@
      * minor are held. */
     duration m_mean_hold{};
     std::array<waiting_list, body_uses> m_waiting;
+    std::function<void()> m_on_close;
 };
 
 } // namespace tillerhall
--- a/src/http/memory_account.cpp
+++ b/src/http/memory_account.cpp
@@ -81,7 +81,7 @@
     const auto least = from.min_stall_for(m_use, bytes);
     while (m_use == memory_use::connection
                ? from.close_one()
-               : from.m_begun.close_most_stalled(now, least))
+               : from.close_first(from.m_begun, now, least))
         if (set(bytes, parts))
             return true;
     return false;
@@ -210,8 +210,18 @@
         m_idle.next_stalled(any) < m_begun.next_stalled(any);
     auto& first = is_idle_first ? m_idle : m_begun;
     auto& second = is_idle_first ? m_begun : m_idle;
-    return first.close_most_stalled(now, any) ||
-           second.close_most_stalled(now, any);
+    return close_first(first, now, any) || close_first(second, now, any);
+}
+
+bool memory_account::close_first(stall_order& order,
+                                 time_point now,
+                                 duration least)
+{
+    if (!order.close_most_stalled(now, least))
+        return false;
+    if (m_on_close)
+        m_on_close();
+    return true;
 }
 
 bool memory_account::is_minor(std::uint64_t bytes) const noexcept
--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -11,6 +11,7 @@
 #include "tillerhall/http/api_server.hpp"
 #include "tillerhall/http/call_session.hpp"
 #include "tillerhall/http/listener.hpp"
+#include "tillerhall/node/closed_connections.hpp"
 #include "tillerhall/node/poison_calls_publisher.hpp"
 #include "tillerhall/node/self_record.hpp"
 #include "tillerhall/node/stop_schedule.hpp"
@@ -278,6 +279,7 @@
 
     void start()
     {
+        memory.on_close([this] { closed.add(); });
         callers->set_make_room([this] { return memory.close_one(); });
         callers->start_accepting(
             [this](std::shared_ptr<tcp_stream> stream) {
@@ -515,6 +517,7 @@
     link_scheduler outgoing{main_worker.io(), config.link_mbps};
     memory_account memory = account_of(config);
     blackboard board;
+    closed_connections closed{main_worker, board, memory};
     target_board board_targets;
     target_registry targets;
     quota_gate quotas{{config.quota_overage, config.quota_extra},
--- a/tests/integration/idle_connections.cpp
+++ b/tests/integration/idle_connections.cpp
@@ -51,5 +51,11 @@
                 clients.open();
             CHECK(open_descriptors(first.node.pid()) < descriptor_limit);
             system.check_serves();
+            const auto lines = system.lines_of(first, "connections_closed");
+            REQUIRE(lines.size() == 1);
+            CHECK(lines.front().at("subject").as_string() == "clients");
+            CHECK(system.metrics_of(first).find(
+                      "\ntillerhall_connections_closed_total ") !=
+                  std::string::npos);
         });
 }
--- a/tests/unit/stall_order.cpp
+++ b/tests/unit/stall_order.cpp
@@ -133,3 +133,22 @@
     memory_account::holding more(&account, memory_use::connection);
     CHECK_FALSE(more.take(1));
 }
+
+TEST_CASE("each connection that is closed to make room is told")
+{
+    constexpr std::uint64_t bytes = 1024 * 1024;
+    memory_account account(bytes, bytes);
+    int closed = 0;
+    account.on_close([&] { ++closed; });
+    std::vector<std::unique_ptr<fake_connection>> all;
+    for (int i = 0; i < 3; ++i)
+    {
+        all.push_back(std::make_unique<fake_connection>());
+        account.idle().progressed(*all.back(), start);
+    }
+    all[1]->has_input = true;
+    CHECK(account.close_one());
+    CHECK(account.close_one());
+    CHECK_FALSE(account.close_one());
+    CHECK(closed == 2);
+}
