Clients that are slow but go on are waited for

What callers saw: a client that was still reading its response was cut 20 s after the response had begun, and a body that was still arriving 20 s after it had begun, also while memory was plenty.

Cause: one timeout for the whole transfer. Progress could not have extended it: a socket took megabytes of a response at once, and what a client read from it showed only once a third of them were gone. For the same reason a client that went on could be taken for the most stalled one when memory was short.

Fix: the timeout begins anew with each 4 KiB that move. A transfer that takes longer than 20 s in all keeps its place in the order of stalled connections and so is closed once others need its memory, as before. TCP_NOTSENT_LOWAT leaves at most 32 KiB of a response unsent in the socket.

--- a/include/tillerhall/http/call_session.hpp
+++ b/include/tillerhall/http/call_session.hpp
@@ -85,6 +85,9 @@
      * not read; needed with `memory`. */
     std::function<whole_response(const request_head&, duration retry_after)>
         refuse_body = nullptr;
+    /** A client that moves less than 4 KiB of a body for so long is taken for
+     * lost. Transfers that take longer than this give way to others. */
+    duration stall_timeout = std::chrono::seconds(20);
     /** Calls of all sessions, from the read of the request until the answer
      * is sent. */
     std::int64_t unanswered = 0;
@@ -188,6 +191,9 @@
     /** Closes the session if the request that is being read takes longer than
      * @p limit, unless calls are running. @return keep it while reading */
     std::unique_ptr<boost::asio::steady_timer> watch_request(duration limit);
+    /** Sets @p limit anew for a request that is being watched.
+     * @param timer may be null: calls are running */
+    void extend_watch(boost::asio::steady_timer* timer, duration limit);
     void on_read(const boost::system::error_code& failed, std::size_t size);
     void read_calls();
     bool read_call();
@@ -202,8 +208,11 @@
     bool hold_memory(std::uint64_t buffer_bytes = 0, std::size_t new_calls = 0);
     /** Puts the connection into the order that its state belongs to. */
     void update_stall_order();
-    /** Notes that the client has moved @p bytes of a request or response. */
-    void note_progress(std::size_t bytes);
+    /** Notes that a body begins to move. */
+    void begin_transfer();
+    /** Notes that the client has moved @p bytes of a body.
+     * @return whether it has made progress */
+    bool note_progress(std::size_t bytes);
     read_outcome read_request(pending_call& into, request_fault& fault);
     read_outcome read_head(request_parser& parser,
                            const client_limits& limits,
@@ -216,15 +225,18 @@
     bool reserve_body(pending_call& into,
                       const request_head& head,
                       std::uint64_t bytes);
-    /** Reads the rest of the body. @return false if its memory is refused */
+    /** Reads the rest of the body by @p latest.
+     * @return false if its memory is refused */
     bool receive_body(pending_call& into,
                       request_parser& parser,
+                      time_point latest,
                       boost::system::error_code& failed);
     void refuse_body(pending_call& into,
                      const request_head& head,
                      std::uint64_t bytes) const;
-    /** @return the time that the body of @p head may take. */
-    duration body_time(const request_head& head, std::uint64_t bytes) const;
+    /** @return when the body of @p head must have been read. */
+    time_point latest_end_of_body(const request_head& head,
+                                  std::uint64_t bytes) const;
     bool send_continue();
     void start(const pending_ptr& call);
     /** @return true if the client has closed the connection. Checks only on a
@@ -239,8 +251,10 @@
     void send_goaway();
     void linger();
     /** Closes the connection after `linger_time`, or later while the client
-     * still receives; not after @p latest. */
+     * still receives; not after @p latest, unless it makes progress. */
     void wait_for_client(time_point latest);
+    /** @return the bytes that are sent and not acknowledged. */
+    std::size_t undelivered_bytes();
 
     worker& m_worker;
     std::shared_ptr<tcp_stream> m_stream;
@@ -251,6 +265,8 @@
     std::deque<pending_ptr> m_pending;
     pending_call* m_received = nullptr; ///< the call that is being read
     std::size_t m_moved = 0;            ///< bytes since the last progress
+    time_point m_transfer_begun{};      ///< of the body that moves
+    std::size_t m_undelivered = 0;      ///< after the last answer
     std::unique_ptr<boost::asio::steady_timer> m_linger_end;
     std::optional<scoped_count> m_lingering;
     bool m_reading = false;    ///< reading, or handling what was read
--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http.hpp>
 #include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 
 namespace tillerhall
@@ -16,15 +17,15 @@
 {
 
 namespace http = boost::beast::http;
+using unsent_limit_option =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
 
-// A client that does not read an answer for so long is taken for lost.
-constexpr std::chrono::seconds write_timeout(20);
 // Added to the timeouts of reading while calls of the connection are running,
 // and to those of a request: a timeout of the stream closes it, which would end
 // the calls and could reset an answer.
 constexpr std::chrono::seconds max_call_time(60);
-// Enough for a body of the maximum size from a slow client.
-constexpr std::chrono::seconds body_timeout(20);
+// The longest that a body waits for memory.
+constexpr std::chrono::seconds max_memory_wait(20);
 // A body waits for memory for at most one of so many parts of the time that its
 // call has; the rest is needed to read it and to run the call.
 constexpr int body_wait_parts = 2;
@@ -39,6 +40,9 @@
 constexpr milliseconds busy_check_limit(20);
 // Typical size of a response head with packet headers, for the link scheduler.
 constexpr std::uint64_t head_bytes = 300;
+// A response that a client reads slowly fills the socket only so far; what is
+// read from a larger buffer would show as progress too late.
+constexpr int max_unsent_bytes = 32 * 1024;
 // A client that moves less makes no progress.
 constexpr std::size_t progress_bytes = 4 * 1024;
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -82,6 +86,9 @@
     , m_host(host)
     , m_memory(host.memory, memory_use::connection)
 {
+    boost::system::error_code ignored;
+    m_stream->socket().set_option(unsent_limit_option(max_unsent_bytes),
+                                  ignored);
 }
 
 void call_session::serve(worker& on,
@@ -111,12 +118,18 @@
     return std::ranges::any_of(sessions, &open_session::is_delivering);
 }
 
+std::size_t call_session::undelivered_bytes()
+{
+    int bytes = 0;
+    if (!m_stream->socket().is_open() ||
+        ::ioctl(m_stream->socket().native_handle(), SIOCOUTQ, &bytes) != 0)
+        return 0;
+    return static_cast<std::size_t>(bytes);
+}
+
 bool call_session::is_delivering()
 {
-    int bytes = 0; // sent and not acknowledged
-    return m_stream->socket().is_open() &&
-           ::ioctl(m_stream->socket().native_handle(), SIOCOUTQ, &bytes) == 0 &&
-           bytes > 0;
+    return undelivered_bytes() != 0;
 }
 
 void call_session::close_idle()
@@ -133,7 +146,7 @@
     if (m_host.goaway)
     {
         const auto response = m_host.goaway();
-        m_stream->expires_after(write_timeout);
+        m_stream->expires_after(m_host.stall_timeout);
         http::async_write(*m_stream, response, await{ignored});
     }
     m_stream->socket().shutdown(boost::asio::socket_base::shutdown_send,
@@ -170,11 +183,24 @@
     order.progressed(*this, steady_clock::now());
 }
 
-void call_session::note_progress(std::size_t bytes)
+void call_session::begin_transfer()
+{
+    update_stall_order();
+    m_moved = 0;
+    m_transfer_begun = steady_clock::now();
+}
+
+bool call_session::note_progress(std::size_t bytes)
 {
     m_moved += bytes;
-    if (m_moved >= progress_bytes)
+    if (m_moved < progress_bytes)
+        return false;
+    m_moved = 0;
+    // A transfer that takes longer keeps its place, so that it is closed when
+    // others need its memory.
+    if (steady_clock::now() < m_transfer_begun + m_host.stall_timeout)
         update_stall_order();
+    return true;
 }
 
 bool call_session::give_way()
@@ -222,15 +248,24 @@
     m_stream->expires_after(limit + max_call_time);
     if (!m_pending.empty())
         return nullptr;
-    auto timer =
-        std::make_unique<boost::asio::steady_timer>(m_worker.io(), limit);
+    auto timer = std::make_unique<boost::asio::steady_timer>(m_worker.io());
+    extend_watch(timer.get(), limit);
+    return timer;
+}
+
+void call_session::extend_watch(boost::asio::steady_timer* timer,
+                                duration limit)
+{
+    m_stream->expires_after(limit + max_call_time);
+    if (timer == nullptr)
+        return;
+    timer->expires_after(limit);
     timer->async_wait(
         [self = shared_from_this()](const boost::system::error_code& failed)
         {
             if (!failed)
                 self->close_idle(); // the request is discarded
         });
-    return timer;
 }
 
 void call_session::on_read(const boost::system::error_code& failed,
@@ -357,13 +392,13 @@
     return !failed;
 }
 
-duration call_session::body_time(const request_head& head,
-                                 std::uint64_t bytes) const
+time_point call_session::latest_end_of_body(const request_head& head,
+                                            std::uint64_t bytes) const
 {
     // The memory of a large body is not kept longer than the call can use it.
     return m_host.memory == nullptr || m_host.memory->is_minor(bytes)
-               ? duration(body_timeout)
-               : std::min<duration>(body_timeout, m_host.time_left(head));
+               ? time_point::max()
+               : steady_clock::now() + m_host.time_left(head);
 }
 
 void call_session::refuse_body(pending_call& into,
@@ -373,7 +408,7 @@
     into.body.release();
     const auto wait = m_host.memory->expected_wait(m_host.request_kind, bytes);
     into.response =
-        m_host.refuse_body(head, std::min<duration>(wait, body_timeout));
+        m_host.refuse_body(head, std::min<duration>(wait, max_memory_wait));
 }
 
 bool call_session::reserve_body(pending_call& into,
@@ -383,7 +418,8 @@
     if (m_host.memory == nullptr ||
         (m_host.memory->is_minor(bytes) && into.body.take(bytes)))
         return true;
-    const auto left = std::min<duration>(body_timeout, m_host.time_left(head));
+    const auto left =
+        std::min<duration>(max_memory_wait, m_host.time_left(head));
     const auto latest = into.request.received + left / body_wait_parts;
     m_awaits_memory = true;
     update_stall_order();
@@ -397,12 +433,19 @@
 
 bool call_session::receive_body(pending_call& into,
                                 request_parser& parser,
+                                time_point latest,
                                 boost::system::error_code& failed)
 {
     const auto length = parser.content_length();
+    const auto limit = [&]
+    {
+        return std::min<duration>(m_host.stall_timeout,
+                                  latest - steady_clock::now());
+    };
+    const auto watch = watch_request(limit());
     // Otherwise each chunk takes a read of its own.
     parser.eager(true);
-    update_stall_order();
+    begin_transfer();
     while (!failed && !parser.is_done())
     {
         const auto& body = parser.get().body();
@@ -412,8 +455,9 @@
         if (fits)
         {
             m_buffer.reserve(read_bytes);
-            note_progress(http::async_read_some(*m_stream, m_buffer, parser,
-                                                await{failed}));
+            if (note_progress(http::async_read_some(*m_stream, m_buffer, parser,
+                                                    await{failed})))
+                extend_watch(watch.get(), limit());
             fits = length || into.body.grow_to(body.capacity());
         }
         if (!fits)
@@ -446,9 +490,8 @@
     if (awaits_continue && m_pending.empty() && !send_continue())
         return read_outcome::closed;
     const byte_backlog::body in_transit(m_host.incoming, length);
-    const auto watch = watch_request(body_time(head, length));
     boost::system::error_code failed;
-    if (!receive_body(into, parser, failed))
+    if (!receive_body(into, parser, latest_end_of_body(head, length), failed))
         return read_outcome::refused;
     if (!failed)
         return read_outcome::call;
@@ -564,13 +607,14 @@
 bool call_session::send(whole_response& response)
 {
     m_sending = true;
-    update_stall_order();
-    m_stream->expires_after(write_timeout);
+    begin_transfer();
+    m_stream->expires_after(m_host.stall_timeout);
     boost::system::error_code failed;
     http::response_serializer<http::string_body> serializer(response);
     while (!failed && !serializer.is_done())
-        note_progress(
-            http::async_write_some(*m_stream, serializer, await{failed}));
+        if (note_progress(
+                http::async_write_some(*m_stream, serializer, await{failed})))
+            m_stream->expires_after(m_host.stall_timeout);
     m_sending = false;
     return !failed;
 }
@@ -590,7 +634,8 @@
         return;
     m_linger_end = std::make_unique<boost::asio::steady_timer>(m_worker.io());
     m_lingering.emplace(m_host.lingering);
-    wait_for_client(steady_clock::now() + write_timeout);
+    m_undelivered = undelivered_bytes();
+    wait_for_client(steady_clock::now() + m_host.stall_timeout);
     if (!m_reading)
         wait_for_bytes();
 }
@@ -602,9 +647,16 @@
         [self = shared_from_this(),
          latest](const boost::system::error_code& failed)
         {
-            if (!failed && self->is_delivering() &&
-                steady_clock::now() < latest)
-                return self->wait_for_client(latest);
+            const auto now = steady_clock::now();
+            const auto bytes = self->undelivered_bytes();
+            const bool has_progressed =
+                bytes + progress_bytes <= self->m_undelivered;
+            if (has_progressed)
+                self->m_undelivered = bytes;
+            const auto until =
+                has_progressed ? now + self->m_host.stall_timeout : latest;
+            if (!failed && bytes != 0 && now < until)
+                return self->wait_for_client(until);
             boost::system::error_code ignored;
             self->m_stream->socket().close(ignored);
             self->m_lingering.reset();
