--- a/tests/support/client_crowd.hpp
+++ b/tests/support/client_crowd.hpp
@@ -112,25 +112,37 @@
         R"({"maxHeaderBytes":16384,"maxBodyBytes":67108864,)"
         R"("headerTimeout":30000,"idleTimeout":60000})";
 
-    explicit crowded_system(worker& on, int memory_mb = memory_limit_mb)
-        : mesh_system(on, {"schuur", "schuur", "perceel", "beurs"})
+    explicit crowded_system(worker& on,
+                            int memory_mb = memory_limit_mb,
+                            std::size_t hosts_of_each = 1)
+        : mesh_system(on, services(hosts_of_each))
     {
         set_node_settings("  link_mbps: 1000\n  memory_limit_mb: " +
                           std::to_string(memory_mb) + "\n");
+        configure(1);
+        for (auto& each : hosts())
+            if (each.service == "beurs")
+                each.target->faults().body_bytes = answer_bytes;
+        start();
+        for (auto& from : hosts())
+            for (const auto* path : {"/fields/w", "/photos/w", "/exports/w"})
+                REQUIRE(wait_until(
+                    [&] { return call(from, "w", path).status == 200; }));
+    }
+
+    /** Stores a configuration whose routes are alike in all versions. */
+    void configure(int version)
+    {
         const std::vector<mesh_route> routes{
             {"photos", "/photos/", "schuur", "upload", route_timeout_ms},
             {"fields", "/fields/", "perceel", "safe", route_timeout_ms},
+            {"sales", "/sales/", "perceel", "unsafe", route_timeout_ms},
             {"exports", "/exports/", "beurs", "safe", route_timeout_ms}};
         auto config =
-            boost::json::parse(mesh_config(1, routes, "/health")).as_object();
+            boost::json::parse(mesh_config(version, routes, "/health"))
+                .as_object();
         config["limits"] = boost::json::parse(client_limits_json);
         store().put("op", "", "config", boost::json::serialize(config));
-        hosts().back().target->faults().body_bytes = answer_bytes;
-        start();
-        for (auto& from : hosts())
-            for (const auto* path : {"/fields/w", "/photos/w", "/exports/w"})
-                REQUIRE(wait_until(
-                    [&] { return call(from, "w", path).status == 200; }));
     }
 
     /** Checks that the node of @p host has fewer than @p limit descriptors, and
@@ -161,6 +173,16 @@
             CHECK(most_memory_mb(each.node.pid()) < memory_limit_mb);
         }
     }
+
+private:
+    static std::vector<std::string> services(std::size_t hosts_of_each)
+    {
+        std::vector<std::string> all;
+        for (std::size_t i = 0; i < hosts_of_each; ++i)
+            for (const auto* each : {"schuur", "schuur", "perceel", "beurs"})
+                all.emplace_back(each);
+        return all;
+    }
 };
 
 } // namespace tillerhall::harness
--- a/tests/support/node_faults.hpp
+++ b/tests/support/node_faults.hpp
@@ -156,6 +156,9 @@
     /** @return the number of faults under way. */
     int active() const noexcept { return m_active; }
 
+    /** @return whether @p host has a fault that was drawn for it. */
+    bool is_faulty(std::size_t host) const { return m_busy.contains(host); }
+
     /** @return whether @p host had a fault between @p begin and @p end. */
     bool was_disturbed(std::size_t host, time_point begin, time_point end) const
     {
