--- a/tests/integration/call_session.cpp
+++ b/tests/integration/call_session.cpp
@@ -106,16 +106,7 @@
     run_main_fiber(
         [&](worker& on)
         {
-            session_host host;
-            host.answer = [&](received_request&, cancel_scope&)
-            {
-                whole_response answer(boost::beast::http::status::ok, 11);
-                answer.body().assign(large, 'x');
-                answer.prepare_payload();
-                return answer;
-            };
-            host.limits = [] { return client_limits{}; };
-            host.is_stopping = [] { return false; };
+            auto host = host_of(large);
             const auto server = serve(on, host);
             auto client = connect_stream(on.io(), server->local(),
                                          std::chrono::seconds(5), "127.0.0.1");
@@ -200,53 +191,30 @@
         {
             constexpr std::size_t body_bytes = 24 * 1024;
             constexpr milliseconds head_timeout(200);
-            session_host host;
-            host.answer = [&](received_request&, cancel_scope&)
-            {
-                whole_response answer(boost::beast::http::status::ok, 11);
-                answer.body().assign(body_bytes, 'x');
-                answer.prepare_payload();
-                return answer;
-            };
+            auto host = host_of(body_bytes);
             host.limits = [&]
             {
                 client_limits limits;
                 limits.head_timeout = head_timeout;
                 return limits;
             };
-            host.is_stopping = [] { return false; };
             const auto server = serve(on, host);
             // Most of the answer stays in the server's socket.
-            tcp_stream client(on.io());
-            const boost::asio::ip::tcp::endpoint to(
-                boost::asio::ip::make_address("127.0.0.1"),
-                server->local().port);
-            client.socket().open(to.protocol());
-            client.socket().set_option(
-                boost::asio::socket_base::receive_buffer_size(4 * 1024));
-            boost::system::error_code failed;
-            client.expires_after(std::chrono::seconds(5));
-            client.async_connect(to, await{failed});
-            const auto send = [&](std::string_view bytes)
-            {
-                boost::asio::async_write(client, boost::asio::buffer(bytes),
-                                         await{failed});
-            };
-            send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+            const auto client = connect_slow_client(on, *server);
+            send(*client, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
             sleep_for(on.io(), milliseconds(50));
             CHECK(host.unanswered == 0);
-            send("GET /b HTTP/1.1\r\nHo");
+            send(*client, "GET /b HTTP/1.1\r\nHo");
             sleep_for(on.io(), stall);
-            send("st: a\r\n\r\n");
+            send(*client, "st: a\r\n\r\n");
             sleep_for(on.io(), milliseconds(50));
             std::string received;
+            boost::system::error_code failed;
             boost::asio::async_read(
-                client, boost::asio::dynamic_buffer(received), await{failed});
+                *client, boost::asio::dynamic_buffer(received), await{failed});
             CHECK(failed == boost::asio::error::eof);
             CHECK(received.size() > body_bytes);
-            client.socket().close();
-            while (!host.sessions.empty()) // they use the host
-                sleep_for(on.io(), milliseconds(5));
+            finish(on, *client, host);
             return 0;
         });
 }
@@ -260,24 +228,17 @@
         {
             memory_account account(1024 * 1024, 1024 * 1024);
             bool is_short = false;
-            session_host host;
+            auto host = host_of(0);
             host.memory = &account;
             host.gives_way = true;
             host.time_left = [](const request_head&)
             { return std::chrono::seconds(1); };
-            host.answer = [](received_request&, cancel_scope&)
-            {
-                whole_response answer(boost::beast::http::status::ok, 11);
-                answer.prepare_payload();
-                return answer;
-            };
             host.limits = [&]
             {
                 if (std::exchange(is_short, false))
                     CHECK(account.close_one());
                 return client_limits{};
             };
-            host.is_stopping = [] { return false; };
             const auto server = serve(on, host);
             const auto connect = [&]
             {
