A SIGHUP right after the start does not end the node

What operators saw: a node that was told to reload its settings just after it had printed its addresses was gone, without a log line.

Cause: the handler of SIGHUP was installed by a fiber, after the listening line and the first turn of the worker. Until then the signal ends a process.

Fix: the handler is installed when the node is made, as that of SIGTERM is; the signal waits until the fiber asks for it.

--- a/src/node/mesh_node.cpp
+++ b/src/node/mesh_node.cpp
@@ -406,11 +406,10 @@
 
     void wait_for_reload()
     {
-        boost::asio::signal_set signals(main_worker.io(), SIGHUP);
         while (true)
         {
             boost::system::error_code failed;
-            signals.async_wait(await{failed});
+            reload_requests.async_wait(await{failed});
             reload();
         }
     }
@@ -514,6 +513,8 @@
     entry_settings entry_config;
     worker main_worker;
     stop_signal stop_requests{main_worker.io()};
+    // From the start on: without a handler the signal would end the process.
+    boost::asio::signal_set reload_requests{main_worker.io(), SIGHUP};
     link_scheduler outgoing{main_worker.io(), config.link_mbps};
     memory_account memory = account_of(config);
     blackboard board;
--- a/tests/integration/mesh_node.cpp
+++ b/tests/integration/mesh_node.cpp
@@ -630,6 +630,25 @@
         });
 }
 
+TEST_CASE("a SIGHUP right after the start does not end the node")
+{
+    on_worker(
+        [](worker& on)
+        {
+            mesh_system system(on, {"perceel"});
+            system.configure(1, two_routes);
+            auto& host = system.hosts()[0];
+            for (int i = 0; i < 10; ++i)
+            {
+                system.start_node(host);
+                host.node.send(SIGHUP);
+                CHECK(system.wait_until([&] { return system.is_ready(host); },
+                                        std::chrono::seconds(5)));
+                REQUIRE(host.node.is_running());
+            }
+        });
+}
+
 TEST_CASE("SIGHUP reloads the settings and cuts no request")
 {
     on_worker(
