Crowd tests wait for served requests in one place

Cause: the soak repeated the loop of its system's constructor that waits until each node answers a request for each service.

Change: crowded_system::wait_until_served, used by both. Checks unchanged.

--- a/tests/integration/misbehaving_clients_soak.cpp
+++ b/tests/integration/misbehaving_clients_soak.cpp
@@ -195,13 +195,7 @@
             CHECK(soak.ended() == 0);
             CHECK(soak.most_mb() < memory_limit_mb);
             CHECK(wrong_answers(system, clients) == std::vector<std::string>());
-            for (auto& each : system.hosts())
-                for (const auto* path :
-                     {"/fields/w", "/photos/w", "/exports/w"})
-                    REQUIRE(system.wait_until(
-                        [&] {
-                            return system.call(each, "w", path).status == 200;
-                        }));
+            system.wait_until_served();
             system.check_serves();
         });
 }
--- a/tests/support/client_crowd.hpp
+++ b/tests/support/client_crowd.hpp
@@ -124,6 +124,12 @@
             if (each.service == "beurs")
                 each.target->faults().body_bytes = answer_bytes;
         start();
+        wait_until_served();
+    }
+
+    /** Waits until each node answers a request for each service. */
+    void wait_until_served()
+    {
         for (auto& from : hosts())
             for (const auto* path : {"/fields/w", "/photos/w", "/exports/w"})
                 REQUIRE(wait_until(
