tillerd: a response without a length is whole only if the call was received

What callers saw: a target that has read all that has arrived closes its connection under an upload, as a crashing process does, and resets it on what arrives later. If the rest of the upload fits into the socket buffers, tillerd passes the part of the body on as a complete answer.

Evidence, on the code before: the case "closed for sending, then reset, after a smaller upload" of integration-unframed_responses gives 200 with the part, at the owner and through another entry. The other ends were told apart before; they keep their cases.

Fix: the relay asks has_ended_cleanly before it takes such a body for complete. A part that has been sent on already is cut, as after any other failure.

--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -239,6 +239,19 @@
         return into.size() - body.size;
     }
 
+    /** As `read_body`; fails if the body ends with the connection and the
+     * target or peer did not receive the whole call, or reset it. */
+    std::size_t read_answer_body(boost::system::error_code& failed)
+    {
+        const auto size = read_body(m_piece, failed);
+        if (!failed && m_parser->is_done() && m_parser->need_eof() &&
+            !has_ended_cleanly(m_upstream, m_plan.deadline))
+            failed = steady_clock::now() >= m_plan.deadline
+                         ? make_error_code(boost::beast::error::timeout)
+                         : boost::asio::error::connection_reset;
+        return size;
+    }
+
     response_head answer_head()
     {
         response_head head = m_parser->get().base();
@@ -261,7 +274,7 @@
         m_result.status = m_parser->get().result_int();
         m_piece.resize(piece_bytes);
         boost::system::error_code failed;
-        const auto size = read_body(m_piece, failed);
+        const auto size = read_answer_body(failed);
         if (failed)
         {
             // Nothing was sent to the caller yet: it gets an error response.
@@ -317,7 +330,7 @@
                 failed = {};
             if (failed || !more)
                 return finish(failed);
-            size = read_body(m_piece, failed);
+            size = read_answer_body(failed);
             if (failed)
             {
                 close_caller();
--- a/tests/integration/unframed_responses.cpp
+++ b/tests/integration/unframed_responses.cpp
@@ -1,7 +1,7 @@
 /** @file Responses without a length that arrive while the request is sent.
  *
- * Guards against one that is reset and passed on as if it were complete, at
- * the owner and through an entry. */
+ * Guards against one that is reset and passed on as if it were complete, on
+ * both programs, at the owner and through an entry. */
 #include "mesh_system.hpp"
 #include "raw_target.hpp"
 
@@ -135,3 +135,36 @@
             }
         });
 }
+
+TEST_CASE("a response without a length that is reset under an upload is not "
+          "complete at tillerd")
+{
+    on_worker(
+        [](worker& on)
+        {
+            auto& target = *new raw_target(on, call_path);
+            cluster_options options;
+            options.placements = {{"perceel", "polder-a"},
+                                  {"perceel", "polder-b"}};
+            options.settings["target.address"] = target.where().text();
+            started_cluster system(on, options);
+            for (auto& entry : system.nodes())
+            {
+                caller from(on.io(), entry.caller);
+                const auto upload = [&](std::size_t size)
+                {
+                    const auto got =
+                        from.call({"perceel", "u", "POST", call_path,
+                                   std::string(size, 'u')});
+                    return got_answer{got.status, got.body};
+                };
+                REQUIRE(system.wait_until(
+                    [&] {
+                        return from.call({"perceel", "w", "GET", "/fields/w"})
+                            .is_good();
+                    }));
+                for (const auto& each : response_ends())
+                    check_upload(on, target, each, upload);
+            }
+        });
+}
