api_client: a response without a length is whole only if the call was received

What could be seen: a response of the platform's store, or to a health check of tillerd, that ends with a clean close and a reset after it, while a part of the call has not arrived, was taken as complete.

Fix: the client asks has_ended_cleanly too.

--- a/src/http/api_client.cpp
+++ b/src/http/api_client.cpp
@@ -109,6 +109,9 @@
         request.max_pause > duration::zero()
             ? read_in_parts(*stream, buffer, parser, request, failed)
             : http::async_read(*stream, buffer, parser, await{failed});
+    if (!failed && parser.need_eof() &&
+        !has_ended_cleanly(*stream, begin + timeout))
+        failed = boost::asio::error::connection_reset;
     if (failed == boost::beast::error::timeout)
         close_idle(begin);
     if (failed)
