tillerd: any 1xx status is that of an interim response

What callers saw: a target that sends 103 (Early Hints) before its response, as HTTP allows it, got its callers a 103 without a body as the final answer, and the connection was closed.

The exchange compared the number and was right.

Fix: is_interim looks at the number; the exchange and the relay share it.

--- a/include/tillerhall/http/fields.hpp
+++ b/include/tillerhall/http/fields.hpp
@@ -60,6 +60,10 @@
 std::string response_fault(const response_head& head,
                            boost::beast::http::verb method);
 
+/** @return whether @p head is that of an interim response; a final one
+ * follows. */
+bool is_interim(const response_head& head);
+
 /** @return the Host field without its port. */
 std::string host_service(const request_head& head);
 
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -113,7 +113,7 @@
                 return fail({}, fault.c_str());
             if (is_goaway(parser))
                 return discard();
-            if (!is_final(parser))
+            if (is_interim(parser.get()))
                 ++interim;
             else if (parser.get()[m_plan.id_field] == m_plan.id)
                 return read_own(parser);
@@ -201,12 +201,6 @@
         return !failed;
     }
 
-    /** @return false for an interim response. */
-    static bool is_final(const head_parser& parser)
-    {
-        return parser.get().result_int() >= 200;
-    }
-
     bool is_goaway(const head_parser& parser) const
     {
         return !m_plan.goaway_field.empty() &&
--- a/src/http/fields.cpp
+++ b/src/http/fields.cpp
@@ -72,6 +72,13 @@
     return {};
 }
 
+bool is_interim(const response_head& head)
+{
+    // result() is `unknown` for a status that Beast has no name for.
+    return http::to_status_class(head.result_int()) ==
+           http::status_class::informational;
+}
+
 std::string framing_fault(const request_head& head)
 {
     if (head.count(http::field::host) != 1)
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -159,8 +159,7 @@
                     m_result.end = relay_end::caller_gone;
                 return false;
             }
-            informational = http::to_status_class(m_parser->get().result()) ==
-                            http::status_class::informational;
+            informational = is_interim(m_parser->get());
         }
         return true;
     }
--- a/tests/integration/exchange.cpp
+++ b/tests/integration/exchange.cpp
@@ -60,6 +60,9 @@
     response_case{"100 Continue\r\n\r\n"
                   "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok",
                   answered, "ok"},
+    response_case{"103 Early Hints\r\nLink: </a>\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok",
+                  answered, "ok"},
     response_case{"200 OK\r\nId: b\r\nContent-Length: 2\r\n\r\nno"
                   "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok",
                   answered, "ok", 1},
--- a/tests/integration/malformed_responses.cpp
+++ b/tests/integration/malformed_responses.cpp
@@ -93,10 +93,40 @@
 /** The calls of one client through one node. */
 using client_call = std::function<got_answer(const std::string& path)>;
 
-void check_responses(worker& on,
-                     raw_target& target,
-                     const std::vector<std::string>& responses,
-                     const client_call& call)
+/** @return responses with an interim one before the final one. */
+std::vector<std::string> with_interim()
+{
+    std::vector<std::string> made;
+    for (const auto* each :
+         {"100 Continue", "102 Processing", "103 Early Hints", "199 Other"})
+        made.push_back("HTTP/1.1 " + std::string(each) +
+                       "\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" + proof +
+                       length + "\r\nhello");
+    return made;
+}
+
+using response_check = std::function<void(
+    worker&, raw_target&, const std::vector<std::string>&, const client_call&)>;
+
+void check_served(worker& on,
+                  raw_target& target,
+                  const std::vector<std::string>& responses,
+                  const client_call& call)
+{
+    for (const auto& each : responses)
+    {
+        CAPTURE(each);
+        const auto got = call_until_sent(on, target, {each},
+                                         [&] { return call(call_path); });
+        CHECK(got.status == 200);
+        CHECK(got.body == "hello");
+    }
+}
+
+void check_refused(worker& on,
+                   raw_target& target,
+                   const std::vector<std::string>& responses,
+                   const client_call& call)
 {
     for (const auto& each : responses)
     {
@@ -112,7 +142,8 @@
 }
 
 /** Checks @p responses on the platform and then at tillerd. */
-void check_both_programs(const std::vector<std::string>& responses)
+void check_both_programs(const std::vector<std::string>& responses,
+                         const response_check& check = check_refused)
 {
     on_worker(
         [&](worker& on)
@@ -134,7 +165,7 @@
                 const auto is_served = [&]
                 { return call("/fields/w").body == "hello"; };
                 REQUIRE(system.wait_until(is_served));
-                check_responses(on, target, responses, call);
+                check(on, target, responses, call);
                 CHECK(system.wait_until(is_served, std::chrono::seconds(5)));
             }
         });
@@ -158,7 +189,7 @@
                 const auto is_served = [&]
                 { return call("/fields/w").body == "hello"; };
                 REQUIRE(system.wait_until(is_served));
-                check_responses(on, target, responses, call);
+                check(on, target, responses, call);
                 CHECK(system.wait_until(is_served, std::chrono::seconds(5)));
             }
         });
@@ -185,3 +216,8 @@
 {
     check_both_programs(with_codings());
 }
+
+TEST_CASE("a final response is served after interim ones")
+{
+    check_both_programs(with_interim(), check_served);
+}
--- a/tests/unit/routing.cpp
+++ b/tests/unit/routing.cpp
@@ -284,6 +284,13 @@
         CHECK(fault_of(status).empty());
     for (const unsigned status : {0U, 99U, 101U, 600U, 999U})
         CHECK_FALSE(fault_of(status).empty());
+    for (const unsigned status : {100U, 103U, 199U})
+    {
+        head.result(status);
+        CHECK(is_interim(head));
+    }
+    head.result(200);
+    CHECK_FALSE(is_interim(head));
     head.set(http::field::transfer_encoding, "Chunked");
     CHECK(fault_of(200).empty());
     for (const auto* each : {"gzip", "gzip, chunked", "chunked, gzip",
