api_client: only a valid final response is taken

What could be seen: a response of the platform's store, or to a health check of tillerd, with the status 000, 101 or 600 was taken as one, and so was a body with a transfer coding that was not decoded. An interim response was taken as the final one; the final one stayed on the connection for the next call.

Cause: the client took whatever the parser accepts.

Fix: the client asks response_fault, as the exchange and the relay do, and skips up to 16 interim responses. Otherwise the call ends as connection_lost, which says that its outcome is unknown.

--- a/src/http/api_client.cpp
+++ b/src/http/api_client.cpp
@@ -1,5 +1,6 @@
 #include "tillerhall/http/api_client.hpp"
 #include "tillerhall/core/await.hpp"
+#include "tillerhall/http/fields.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -16,6 +17,7 @@
 constexpr std::size_t max_answer_bytes = 64 * 1024 * 1024;
 // Holds the largest head and one read of a body.
 constexpr std::size_t max_buffer_bytes = 128 * 1024;
+constexpr unsigned max_interim = 16;
 // Limit of the whole time of an answer that arrives without long pauses.
 constexpr std::chrono::seconds max_transfer(10);
 
@@ -65,6 +67,29 @@
     return bytes;
 }
 
+/** Reads the final response; interim ones before it are skipped.
+ * @return the bytes read, also if it failed. */
+std::size_t read_final(tcp_stream& stream,
+                       boost::beast::flat_buffer& buffer,
+                       std::optional<answer_parser>& parser,
+                       const api_call& request,
+                       boost::system::error_code& failed)
+{
+    std::size_t bytes = 0;
+    for (unsigned interim = 0; interim <= max_interim; ++interim)
+    {
+        parser.emplace();
+        parser->body_limit(max_answer_bytes);
+        parser->skip(request.method == "HEAD");
+        bytes += request.max_pause > duration::zero()
+                     ? read_in_parts(stream, buffer, *parser, request, failed)
+                     : http::async_read(stream, buffer, *parser, await{failed});
+        if (failed || !is_interim(parser->get()))
+            break;
+    }
+    return bytes;
+}
+
 } // namespace
 
 result<std::unique_ptr<tcp_stream>> api_client::take_stream(duration timeout)
@@ -102,14 +127,9 @@
     if (failed)
         return stream_error(failed, "cannot send to", m_server);
     boost::beast::flat_buffer buffer(max_buffer_bytes);
-    answer_parser parser;
-    parser.body_limit(max_answer_bytes);
-    parser.skip(request.method == "HEAD");
-    response.wire_in =
-        request.max_pause > duration::zero()
-            ? read_in_parts(*stream, buffer, parser, request, failed)
-            : http::async_read(*stream, buffer, parser, await{failed});
-    if (!failed && parser.need_eof() &&
+    std::optional<answer_parser> parser;
+    response.wire_in = read_final(*stream, buffer, parser, request, failed);
+    if (!failed && parser->need_eof() &&
         !has_ended_cleanly(*stream, begin + timeout))
         failed = boost::asio::error::connection_reset;
     if (failed == boost::beast::error::timeout)
@@ -120,7 +140,13 @@
                                 std::to_string(response.wire_in) +
                                 " bytes, from",
                             m_server);
-    auto& answer = parser.get();
+    auto& answer = parser->get();
+    auto fault = response_fault(answer, message.method());
+    if (is_interim(answer))
+        fault = "too many interim responses came";
+    if (!fault.empty())
+        return error(error_code::connection_lost,
+                     fault + ", from " + m_server.text());
     response.status = answer.result_int();
     response.content_type = std::string(answer[http::field::content_type]);
     response.body = std::move(answer.body());
--- a/tests/integration/api_client.cpp
+++ b/tests/integration/api_client.cpp
@@ -8,8 +8,6 @@
 
 #include "tillerhall/http/api_client.hpp"
 
-#include <array>
-
 using namespace tillerhall;
 using namespace tillerhall::harness;
 
@@ -69,3 +67,74 @@
             CHECK(got->body == "whole");
         });
 }
+
+TEST_CASE("an API client takes valid final responses only")
+{
+    const auto max_pause = milliseconds(GENERATE(0, 500));
+    const std::string fields = "\r\nContent-Length: 2\r\n\r\nok";
+    const std::string chunks = "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+    const auto* const start = GENERATE(
+        "HTTP/1.1 000 No", "HTTP/1.1 099 No", "HTTP/1.1 101 No",
+        "HTTP/1.1 600 No", "HTTP/1.1 200 OK\r\nX Extra: 1",
+        "HTTP/1.1 200 OK\r\nX-Extra : 1", "HTTP/1.1 200 OK\r\nX\x01: 1",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip");
+    const bool has_chunks =
+        std::string_view(start).find("chunked") != std::string_view::npos;
+    CAPTURE(start, max_pause.count());
+    on_worker(
+        [=](worker& on)
+        {
+            auto& server = *new raw_target(on, "/call");
+            api_client client(on.io(), server.where());
+            server.set_next({start + (has_chunks ? chunks : fields),
+                             connection_end::half_close_and_read});
+            CHECK_FALSE(send_to(client, 1, max_pause));
+            const auto next = send_to(client, 1, max_pause);
+            REQUIRE(next);
+            CHECK(next->body == "hello");
+        });
+}
+
+TEST_CASE("an API client skips interim responses")
+{
+    // Guards against one that is taken, with the final one left for the next
+    // call.
+    const auto max_pause = milliseconds(GENERATE(0, 500));
+    const auto count = GENERATE(1U, 2U);
+    on_worker(
+        [=](worker& on)
+        {
+            auto& server = *new raw_target(on, "/call");
+            api_client client(on.io(), server.where());
+            std::string interim;
+            for (unsigned i = 0; i < count; ++i)
+                interim += "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+            server.set_next({interim + "HTTP/1.1 404 No\r\n"
+                                       "Content-Length: 5\r\n\r\nfinal"});
+            const auto got = send_to(client, 1, max_pause);
+            REQUIRE(got);
+            CHECK(got->status == 404);
+            CHECK(got->body == "final");
+            const auto next = send_to(client, 1, max_pause);
+            REQUIRE(next);
+            CHECK(next->body == "hello");
+        });
+}
+
+TEST_CASE(
+    "an API client gives up on a server that sends interim responses only")
+{
+    const auto max_pause = milliseconds(GENERATE(0, 500));
+    on_worker(
+        [=](worker& on)
+        {
+            auto& server = *new raw_target(on, "/call");
+            api_client client(on.io(), server.where());
+            std::string interim;
+            for (unsigned i = 0; i < 100; ++i)
+                interim += "HTTP/1.1 100 Continue\r\n\r\n";
+            server.set_next({interim, connection_end::half_close_and_read});
+            CHECK_FALSE(send_to(client, 1, max_pause));
+        });
+}
