A success with any 2xx status needs the target's seal

What callers saw: a 209 or 299 without the seal was passed on as an answer; a 200 or 203 without it was not (MIXED).

Fix: is_success looks at the number. No other place asks for a class by name.

--- a/src/proxy/target_owner.cpp
+++ b/src/proxy/target_owner.cpp
@@ -83,7 +83,7 @@
 
 bool is_success(const whole_response& response)
 {
-    return http::to_status_class(response.result()) ==
+    return http::to_status_class(response.result_int()) ==
            http::status_class::successful;
 }
 
--- a/tests/integration/malformed_responses.cpp
+++ b/tests/integration/malformed_responses.cpp
@@ -141,9 +141,8 @@
     }
 }
 
-/** Checks @p responses on the platform and then at tillerd. */
-void check_both_programs(const std::vector<std::string>& responses,
-                         const response_check& check = check_refused)
+void check_platform(const std::vector<std::string>& responses,
+                    const response_check& check)
 {
     on_worker(
         [&](worker& on)
@@ -169,6 +168,11 @@
                 CHECK(system.wait_until(is_served, std::chrono::seconds(5)));
             }
         });
+}
+
+void check_tillerd(const std::vector<std::string>& responses,
+                   const response_check& check)
+{
     on_worker(
         [&](worker& on)
         {
@@ -195,6 +199,13 @@
         });
 }
 
+void check_both_programs(const std::vector<std::string>& responses,
+                         const response_check& check = check_refused)
+{
+    check_platform(responses, check);
+    check_tillerd(responses, check);
+}
+
 } // namespace
 
 TEST_CASE("a response with an invalid field name or value is no answer")
@@ -221,3 +232,13 @@
 {
     check_both_programs(with_interim(), check_served);
 }
+
+TEST_CASE("a success without the target's seal is no answer on the platform")
+{
+    std::vector<std::string> responses;
+    for (const auto* status : {"200", "203", "209", "299"})
+        responses.push_back("HTTP/1.1 " + std::string(status) +
+                            " OK\r\nX-Request-Attempt-Id: ID\r\n" + length +
+                            "\r\nhello");
+    check_platform(responses, check_refused);
+}
