--- a/tests/integration/malformed_responses.cpp
+++ b/tests/integration/malformed_responses.cpp
@@ -177,11 +177,7 @@
         [&](worker& on)
         {
             auto& target = *new raw_target(on, call_path);
-            cluster_options options;
-            options.placements = {{"perceel", "polder-a"},
-                                  {"perceel", "polder-b"}};
-            options.settings["target.address"] = target.where().text();
-            started_cluster system(on, options);
+            started_cluster system(on, two_nodes_beside(target));
             for (auto& entry : system.nodes())
             {
                 caller from(on.io(), entry.caller);
--- a/tests/integration/unframed_responses.cpp
+++ b/tests/integration/unframed_responses.cpp
@@ -126,11 +126,7 @@
         [](worker& on)
         {
             auto& target = *new raw_target(on, call_path);
-            cluster_options options;
-            options.placements = {{"perceel", "polder-a"},
-                                  {"perceel", "polder-b"}};
-            options.settings["target.address"] = target.where().text();
-            started_cluster system(on, options);
+            started_cluster system(on, two_nodes_beside(target));
             for (auto& entry : system.nodes())
             {
                 caller from(on.io(), entry.caller);
--- a/tests/support/raw_target.hpp
+++ b/tests/support/raw_target.hpp
@@ -138,6 +138,15 @@
     std::optional<raw_answer> m_next;
 };
 
+/** @return options for two nodes of tillerd, both beside @p target. */
+inline cluster_options two_nodes_beside(const raw_target& target)
+{
+    cluster_options options;
+    options.placements = {{"perceel", "polder-a"}, {"perceel", "polder-b"}};
+    options.settings["target.address"] = target.where().text();
+    return options;
+}
+
 /** An answer as its client got it. */
 struct got_answer
 {
