api_client: interim responses do not extend the time of a call

Each response read in parts had its own limit of max_transfer since interim ones are skipped; a call now has one limit for all of them, as before. By reading; no test showed it. Also corrects the comment of has_ended_cleanly.

--- a/include/tillerhall/http/stream.hpp
+++ b/include/tillerhall/http/stream.hpp
@@ -58,8 +58,8 @@
  * next read gets an end of file, and a process that crashes closes its
  * connections and resets them on what arrives later. Waits until the peer has
  * acknowledged all that was sent, at most until @p deadline.
- * @return true if the peer has closed its direction, received all that was
- * sent, and not reset the connection
+ * @return true if the peer has received all that was sent, and not reset the
+ * connection
  */
 bool has_ended_cleanly(tcp_stream& stream, time_point deadline);
 
--- a/src/http/api_client.cpp
+++ b/src/http/api_client.cpp
@@ -42,15 +42,16 @@
 using answer_parser = http::response_parser<http::string_body>;
 
 /** Reads an answer that may take long as a whole, but not pause for long.
+ * @param until end of the time for it and those after it, set by the first part
  * @return the bytes read, also if it failed. */
 std::size_t read_in_parts(tcp_stream& stream,
                           boost::beast::flat_buffer& buffer,
                           answer_parser& parser,
                           const api_call& request,
+                          std::optional<time_point>& until,
                           boost::system::error_code& failed)
 {
     std::size_t bytes = 0;
-    std::optional<time_point> until;
     while (!failed && !parser.is_done())
     {
         bytes += http::async_read_some(stream, buffer, parser, await{failed});
@@ -76,14 +77,16 @@
                        boost::system::error_code& failed)
 {
     std::size_t bytes = 0;
+    std::optional<time_point> until;
     for (unsigned interim = 0; interim <= max_interim; ++interim)
     {
         parser.emplace();
         parser->body_limit(max_answer_bytes);
         parser->skip(request.method == "HEAD");
-        bytes += request.max_pause > duration::zero()
-                     ? read_in_parts(stream, buffer, *parser, request, failed)
-                     : http::async_read(stream, buffer, *parser, await{failed});
+        bytes +=
+            request.max_pause > duration::zero()
+                ? read_in_parts(stream, buffer, *parser, request, until, failed)
+                : http::async_read(stream, buffer, *parser, await{failed});
         if (failed || !is_interim(parser->get()))
             break;
     }
