Raw targets have a small receive buffer, whatever the system's default

The cases of a half-close followed by a reset need an upload that has not been acknowledged when the reset comes; on systems with large buffers 400 kB would be.

--- a/tests/integration/unframed_responses.cpp
+++ b/tests/integration/unframed_responses.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t mb = 1024 * 1024;
 // More than the socket buffers hold, so that writing it waits for the target.
 constexpr std::size_t upload_bytes = 32 * mb;
-// Fits into the socket buffers, but not into those of the target alone.
+// Fits into the socket buffers, but not into that of the target alone.
 constexpr std::size_t buffered_bytes = 400'000;
 constexpr const char* call_path = "/fields/x";
 constexpr const char* body = "the first bytes of a longer body";
--- a/tests/support/raw_target.hpp
+++ b/tests/support/raw_target.hpp
@@ -97,6 +97,12 @@
 private:
     void serve(tcp_stream& stream)
     {
+        // Most of an upload that is not read stays unacknowledged.
+        constexpr int receive_bytes = 64 * 1024;
+        boost::system::error_code ignored;
+        stream.socket().set_option(
+            boost::asio::socket_base::receive_buffer_size(receive_bytes),
+            ignored);
         std::string buffer;
         while (true)
         {
