Broken responses at tillerd pass the hop between nodes

A late response that is skipped and cut had no case. Change: the second node owns targets of another service, so that its calls go through the first. Two cases of integration-exchange for the late response. No check is changed.

--- a/tests/integration/exchange.cpp
+++ b/tests/integration/exchange.cpp
@@ -70,6 +70,11 @@
                   "2\r\nno\r\n0\r\n\r\n"
                   "HTTP/1.1 204 OK\r\nId: a\r\n\r\n",
                   answered, "", 1},
+    response_case{"200 OK\r\nId: b\r\nContent-Length: 3\r\n\r\nno", unknown, "",
+                  1},
+    response_case{"200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "2\r\nno\r\n",
+                  unknown, "", 1},
     response_case{"200 OK\r\nId: b\r\n\r\nno", unknown, ""}};
 
 /** Sends a request to a server that responds with @p text and, if it
--- a/tests/support/raw_target.hpp
+++ b/tests/support/raw_target.hpp
@@ -144,11 +144,13 @@
     std::optional<raw_answer> m_next;
 };
 
-/** @return options for two nodes of tillerd, both beside @p target. */
+/** @return options for two nodes of tillerd with @p target behind them. Only
+ * the first owns targets of the service perceel, so that calls for it go
+ * through the second one to the first. */
 inline cluster_options two_nodes_beside(const raw_target& target)
 {
     cluster_options options;
-    options.placements = {{"perceel", "polder-a"}, {"perceel", "polder-b"}};
+    options.placements = {{"perceel", "polder-a"}, {"oogstbeurs", "polder-b"}};
     options.settings["target.address"] = target.where().text();
     return options;
 }
