An upload that is discarded gives its memory back at once

Callers saw: a client that stops in the middle of a large upload kept the memory of its body beyond the time of its call, while the uploads of others waited for it or got 503.

Cause: at the end of a call's time, and at a planned stop, the session only noted that it closes. Its fiber went on reading the body into that memory until the connection was closed, a second later (`linger_time`), or later still if the client had not acknowledged all bytes.

Now the read is cancelled and the body freed; what still arrives is discarded as before.

--- a/src/http/call_session.cpp
+++ b/src/http/call_session.cpp
@@ -137,6 +137,9 @@
     if (m_closing || !m_pending.empty())
         return;
     m_closing = true;
+    // The request being read is discarded: its memory is needed by others.
+    if (m_received != nullptr)
+        m_stream->cancel();
     m_worker.spawn([self = shared_from_this()] { self->send_goaway(); });
 }
 
@@ -446,7 +449,7 @@
     // Otherwise each chunk takes a read of its own.
     parser.eager(true);
     begin_transfer();
-    while (!failed && !parser.is_done())
+    while (!failed && !m_closing && !parser.is_done())
     {
         const auto& body = parser.get().body();
         const auto read_bytes = std::min<std::uint64_t>(
@@ -493,7 +496,7 @@
     boost::system::error_code failed;
     if (!receive_body(into, parser, latest_end_of_body(head, length), failed))
         return read_outcome::refused;
-    if (!failed)
+    if (!failed && !m_closing)
         return read_outcome::call;
     if (!is_malformed(failed))
         return read_outcome::closed;
--- a/tests/integration/request_bodies.cpp
+++ b/tests/integration/request_bodies.cpp
@@ -318,6 +318,8 @@
             while (host.bodies.taken() != 0 && steady_clock::now() < until)
                 sleep_for(on.io(), milliseconds(10));
             CHECK(host.bodies.taken() == 0);
+            // What still arrives is discarded without it.
+            CHECK_FALSE(host.host.sessions.empty());
             client.close();
             host.finish(on);
             return 0;
