API calls time out, also behind a response without a length

Callers saw: an API call (store, health checks of tillerd, tiller) whose server ended a response without a length, and then read nothing more of the request, ended at its timeout as "connection lost, reset by peer", though nobody had reset it. So idle connections to a server that no longer reads were kept, which a timeout closes.

Cause: `has_ended_cleanly` told only that the end was not clean. `exchange` and the relay of tillerd each worked out again whether the deadline or a reset had ended it; the API client took every one for a reset.

Now the function, `await_clean_end`, returns the error itself, and all three pass it on. `exchange` keeps the error of its write for a request that was not sent whole; at the deadline that is the same timeout as before.

Evidence: the new case of integration-api_client failed on the code before (`connection_lost` instead of `timed_out`) and passes 3 of 3. A first form that took each unsent request for a reset failed integration-exchange, "a server that stops reading does not hold an exchange past its deadline". The programs of responses, calls and stops pass.

--- a/include/tillerhall/http/stream.hpp
+++ b/include/tillerhall/http/stream.hpp
@@ -58,10 +58,11 @@
  * next read gets an end of file, and a process that crashes closes its
  * connections and resets them on what arrives later. Waits until the peer has
  * acknowledged all that was sent, at most until @p deadline.
- * @return true if the peer has received all that was sent, and not reset the
- * connection
+ * @return no error if the peer has received all that was sent and not reset the
+ * connection; `timeout` at @p deadline, otherwise `connection_reset`
  */
-bool has_ended_cleanly(tcp_stream& stream, time_point deadline);
+boost::system::error_code await_clean_end(tcp_stream& stream,
+                                          time_point deadline);
 
 /** Closes @p stream at once. Bytes that were written but not yet sent are
  * discarded, so that the peer does not get the rest of a request that nobody
--- a/src/http/api_client.cpp
+++ b/src/http/api_client.cpp
@@ -132,9 +132,8 @@
     boost::beast::flat_buffer buffer(max_buffer_bytes);
     std::optional<answer_parser> parser;
     response.wire_in = read_final(*stream, buffer, parser, request, failed);
-    if (!failed && parser->need_eof() &&
-        !has_ended_cleanly(*stream, begin + timeout))
-        failed = boost::asio::error::connection_reset;
+    if (!failed && parser->need_eof())
+        failed = await_clean_end(*stream, begin + timeout);
     if (failed == boost::beast::error::timeout)
         close_idle(begin);
     if (failed)
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -68,7 +68,7 @@
         if (m_request.body().size() <= inline_body_bytes)
         {
             write();
-            if (m_sent && !m_write_failed)
+            if (m_sent)
                 read();
         }
         else
@@ -86,7 +86,7 @@
         boost::system::error_code failed;
         m_bytes_out = http::async_write(m_stream, m_request, await{failed});
         m_sent = !failed;
-        m_write_failed = failed.failed();
+        m_write_error = failed;
         if (failed && !m_result.response)
             fail(failed, "sending failed");
         if (!failed && m_plan.observer != nullptr)
@@ -221,13 +221,11 @@
      * request was received, and the connection not reset. */
     bool has_clean_end()
     {
-        if (m_sent && has_ended_cleanly(m_stream, m_plan.deadline))
-            return true;
-        fail(steady_clock::now() >= m_plan.deadline
-                 ? make_error_code(boost::beast::error::timeout)
-                 : make_error_code(boost::system::errc::connection_reset),
-             not_whole);
-        return false;
+        const auto failed =
+            m_sent ? await_clean_end(m_stream, m_plan.deadline) : m_write_error;
+        if (failed)
+            fail(failed, not_whole);
+        return !failed;
     }
 
     /** Records the first failure and closes the stream. */
@@ -255,7 +253,7 @@
             return result_of(exchange_end::cancelled, "the client left");
         if (m_is_discarded)
             return result_of(exchange_end::discarded, m_result.detail);
-        if (m_bytes_out == 0 && m_write_failed)
+        if (m_bytes_out == 0 && m_write_error)
             return result_of(exchange_end::not_written, m_result.detail);
         return result_of(m_timed_out ? exchange_end::timed_out
                                      : exchange_end::unknown,
@@ -277,8 +275,8 @@
     exchange_result m_result;
     boost::beast::flat_buffer m_buffer{max_buffer_bytes};
     std::size_t m_bytes_out = 0;
+    boost::system::error_code m_write_error;
     bool m_sent = false;
-    bool m_write_failed = false;
     bool m_timed_out = false;
     bool m_keep_alive = false;
     bool m_ends_with_connection = false; ///< the response's body
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -238,11 +238,8 @@
     std::size_t read_answer_body(boost::system::error_code& failed)
     {
         const auto size = read_body(m_piece, failed);
-        if (!failed && m_parser->is_done() && m_parser->need_eof() &&
-            !has_ended_cleanly(m_upstream, m_plan.deadline))
-            failed = steady_clock::now() >= m_plan.deadline
-                         ? make_error_code(boost::beast::error::timeout)
-                         : boost::asio::error::connection_reset;
+        if (!failed && m_parser->is_done() && m_parser->need_eof())
+            failed = await_clean_end(m_upstream, m_plan.deadline);
         return size;
     }
 
--- a/src/http/stream.cpp
+++ b/src/http/stream.cpp
@@ -131,22 +131,23 @@
     return failed && failed != boost::asio::error::would_block;
 }
 
-bool has_ended_cleanly(tcp_stream& stream, time_point deadline)
+boost::system::error_code await_clean_end(tcp_stream& stream,
+                                          time_point deadline)
 {
     while (stream.socket().is_open())
     {
         const bool is_acknowledged = !has_unacknowledged_data(stream);
         if (is_reset(stream))
-            return false;
+            break;
         if (is_acknowledged)
-            return true;
+            return {};
         const auto left = deadline - steady_clock::now();
         if (left <= duration::zero())
-            return false;
+            return boost::beast::error::timeout;
         sleep_for(stream.get_executor().context(),
                   std::min<duration>(left, acknowledged_poll_interval));
     }
-    return false;
+    return boost::asio::error::connection_reset;
 }
 
 void reset_stream(tcp_stream& stream)
--- a/tests/integration/api_client.cpp
+++ b/tests/integration/api_client.cpp
@@ -51,6 +51,24 @@
         });
 }
 
+TEST_CASE("an API call times out if the server ends its response without a "
+          "length and does not read the request")
+{
+    on_worker(
+        [](worker& on)
+        {
+            auto& server = *new raw_target(on, "/call");
+            api_client client(on.io(), server.where());
+            server.set_next({"HTTP/1.1 200 OK\r\n\r\nthe first bytes",
+                             connection_end::half_close_and_stall});
+            const auto begin = steady_clock::now();
+            const auto got = send_to(client, buffered_bytes, duration::zero());
+            REQUIRE_FALSE(got);
+            CHECK(got.reason().code() == error_code::timed_out);
+            CHECK(steady_clock::now() - begin >= call_timeout);
+        });
+}
+
 TEST_CASE("an API response without a length is complete if the server closes "
           "only its sending direction")
 {
--- a/tests/support/raw_target.hpp
+++ b/tests/support/raw_target.hpp
@@ -56,6 +56,12 @@
     };
 }
 
+/** Closes the sending direction and does not read any more. */
+inline void half_close_and_stall(worker& on, tcp_stream& stream)
+{
+    half_close_and_reset(std::chrono::seconds(10))(on, stream);
+}
+
 /** Closes the sending direction and reads on until the peer closes. */
 inline void half_close_and_read(worker&, tcp_stream& stream)
 {
